--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"errors"
 	"net"
 	"strconv"
 	"sync"
@@ -19,6 +20,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/entryset"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
+	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/proxy"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
@@ -47,6 +49,8 @@
 	proxy       *proxy.Proxy
 	callers     *callerserver.Server
 	admin       *fasthttp.Server
+	peers       *peer.Server
+	peerClient  *peer.Client
 	snapshot    atomic.Pointer[config.Snapshot]
 	sessions    atomic.Uint64
 	started     time.Time
@@ -78,6 +82,8 @@
 		IdleTimeout: idleTimeout,
 	}
 	d.callers = callerserver.New(d, limits, d.log)
+	d.peers = peer.NewServer([]byte(s.PeerKey), d.log)
+	d.peerClient = peer.NewClient([]byte(s.PeerKey))
 	d.admin = &fasthttp.Server{Handler: d.serveAdmin, NoDefaultServerHeader: true}
 	return d
 }
@@ -90,12 +96,17 @@
 // Run serves until ctx is done and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.started = time.Now()
-	listener, err := net.Listen("tcp", d.settings.AdminAddress())
+	adminListener, err := net.Listen("tcp", d.settings.AdminAddress())
 	if err != nil {
 		return err
 	}
-	failed := make(chan error, 2)
-	go func() { failed <- d.admin.Serve(listener) }()
+	peerListener, err := net.Listen("tcp", d.settings.PeerAddress())
+	if err != nil {
+		return errors.Join(err, adminListener.Close())
+	}
+	failed := make(chan error, 3)
+	go func() { failed <- d.admin.Serve(adminListener) }()
+	go func() { failed <- d.peers.Serve(peerListener) }()
 	go func() { failed <- d.callers.Run(d.settings.CallerAddress(), d.settings.EventLoops) }()
 	go d.follower.Run()
 	go d.followVMs()
@@ -105,6 +116,7 @@
 	case <-ctx.Done():
 	}
 	d.shutdown()
+	_ = peerListener.Close()
 	return err
 }
 
@@ -116,6 +128,8 @@
 	defer cancel()
 	_ = d.callers.Stop(ctx)
 	_ = d.admin.ShutdownWithContext(ctx)
+	d.peers.Close()
+	d.peerClient.Close()
 	d.proxy.Close()
 	d.log.Info("entry daemon stopped")
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,9 @@
 	// PlatformTimeoutMs bounds a call to the platform, in milliseconds.
 	// Default 1000.
 	PlatformTimeoutMs int `json:"platform_timeout_ms" validate:"min=1,max=60000"`
+	// PeerKey is the key that all entry daemons share. It authenticates the inner
+	// protocol.
+	PeerKey string `json:"peer_key" validate:"required,min=16,max=256"`
 	// EventLoops is the number of event loops that serve callers. Default 2.
 	EventLoops int `json:"event_loops" validate:"min=1,max=64"`
 	// KeepSeconds is how long callers keep the list of entry VMs, in seconds.
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -89,7 +89,7 @@
 	t.Helper()
 	name := fmt.Sprintf("entry-%d", i)
 	path := filepath.Join(f.dir, name+".json")
-	settings := fmt.Sprintf(`{"name":%q,"ip":%q,"region":"perth","zone":%q,"platform":%q,"keep_seconds":1}`, name, f.entries[i], zone(i), f.platform)
+	settings := fmt.Sprintf(`{"name":%q,"ip":%q,"region":"perth","zone":%q,"platform":%q,"keep_seconds":1,"peer_key":"end-to-end test key"}`, name, f.entries[i], zone(i), f.platform)
 	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600))
 	f.start(t, name, "entry", "--settings", path)
 }
