Measure what an entry daemon adds to a call

Cause: the added latency at p99 had no measurement. Change: test/fleet starts the processes; bench/latency sends paired calls.

--- /dev/null
+++ b/bench/latency/main.go
@@ -0,0 +1,120 @@
+// Command latency measures what an entry daemon adds to a call: the same calls
+// go straight to a target and through an entry daemon, alternately, in one run.
+//
+// It prints one "name value unit" line a figure.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
+	"github.com/poplarwheel/poplarwheel/test/fleet"
+)
+
+type options struct {
+	binary   string
+	rate     int
+	duration time.Duration
+	loops    int
+	workers  int
+}
+
+func main() {
+	var o options
+	flag.StringVar(&o.binary, "binary", "bin/poplarwheel", "path of the poplarwheel binary")
+	flag.IntVar(&o.rate, "rate", 2000, "calls a second on each of the two ways")
+	flag.DurationVar(&o.duration, "duration", 5*time.Second, "length of the run")
+	flag.IntVar(&o.loops, "event-loops", 2, "event loops of the entry daemon")
+	flag.IntVar(&o.workers, "connections", 50, "connections on each of the two ways")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "latency:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	dir, err := os.MkdirTemp("", "poplarwheel-latency")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := fleet.Start(fleet.Options{
+		Binary:     o.binary,
+		Dir:        dir,
+		Entries:    1,
+		Targets:    1,
+		TargetArgs: func(int) []string { return []string{"--slots", "1000", "--mean-ms", "0"} },
+		Settings:   map[string]any{"event_loops": o.loops},
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := configure(f); err != nil {
+		return err
+	}
+	before := cpuTime(f.Pid(fleet.EntryName(0)))
+	direct, relayed := measure(f, o)
+	spent := cpuTime(f.Pid(fleet.EntryName(0))) - before
+	print(o, direct, relayed, spent)
+	return nil
+}
+
+func configure(f *fleet.Fleet) error {
+	revision, err := f.Accept(&questionnaire.Answers{Team: "bench", Services: []questionnaire.Service{{
+		Name:                 "stock",
+		Priority:             questionnaire.PriorityCost,
+		TypicalMs:            100,
+		SlotsPerServer:       1000,
+		ConnectionsPerServer: 1000,
+		Servers:              f.Servers(0, 0),
+		Requests: []questionnaire.Request{{
+			Name: "availability", AgreedMs: 2000,
+			IfLate: questionnaire.HarmNone, IfLost: questionnaire.HarmNone, IfDoubled: questionnaire.HarmNone,
+		}},
+	}}}, "bench")
+	if err != nil {
+		return err
+	}
+	return f.AwaitRevision(revision)
+}
+
+// measure sends calls on both ways, each connection at its own random times.
+func measure(f *fleet.Fleet, o options) (direct, relayed *way) {
+	direct = newWay(f.TargetAddress(0))
+	relayed = newWay(f.EntryAddress(0))
+	mean := time.Duration(o.workers) * time.Second / time.Duration(o.rate)
+	end := time.Now().Add(o.duration)
+	var pending sync.WaitGroup
+	for i := range o.workers {
+		seed := uint64(i)
+		pending.Go(func() { direct.connection(seed, mean, end) })
+		pending.Go(func() { relayed.connection(seed, mean, end) })
+	}
+	pending.Wait()
+	return direct, relayed
+}
+
+func print(o options, direct, relayed *way, spent time.Duration) {
+	calls := relayed.histogram.TotalCount()
+	for _, quantile := range []float64{50, 99, 99.9} {
+		straight := direct.histogram.ValueAtQuantile(quantile)
+		through := relayed.histogram.ValueAtQuantile(quantile)
+		fmt.Printf("direct_p%v_ms %.3f ms\n", quantile, float64(straight)/1000)
+		fmt.Printf("entry_p%v_ms %.3f ms\n", quantile, float64(through)/1000)
+		fmt.Printf("added_p%v_ms %.3f ms\n", quantile, float64(through-straight)/1000)
+	}
+	fmt.Printf("rate %d calls/s\n", o.rate)
+	fmt.Printf("event_loops %d loops\n", o.loops)
+	fmt.Printf("failed %d calls\n", direct.failed+relayed.failed)
+	if calls > 0 {
+		perCall := float64(spent.Microseconds()) / float64(calls)
+		fmt.Printf("entry_cpu_per_call %.1f us\n", perCall)
+		fmt.Printf("entry_calls_per_core %.0f calls/s\n", 1e6/perCall)
+	}
+}
--- /dev/null
+++ b/test/fleet/processes.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+)
+
+// processes are the processes that a fleet has started.
+type processes struct {
+	binary string
+	dir    string
+
+	mu      sync.Mutex
+	running map[string]*process
+}
+
+type process struct {
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// UnknownProcessError reports a name without a running process.
+type UnknownProcessError struct{ Name string }
+
+// Error implements error.
+func (e *UnknownProcessError) Error() string {
+	return fmt.Sprintf("fleet: no process %q is running", e.Name)
+}
+
+func newProcesses(binary, dir string) *processes {
+	return &processes{binary: binary, dir: dir, running: map[string]*process{}}
+}
+
+// StartProcess starts the binary with args. Its output goes to NAME.log.
+func (p *processes) StartProcess(name string, args ...string) error {
+	log, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(p.binary, args...)
+	command.Stdout = log
+	command.Stderr = log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	started := &process{command: command, exited: make(chan struct{})}
+	go func() {
+		_ = command.Wait()
+		close(started.exited)
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[name] = started
+	return nil
+}
+
+func (p *processes) find(name string) (*process, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.running[name]
+	if found == nil {
+		return nil, &UnknownProcessError{Name: name}
+	}
+	return found, nil
+}
+
+// Pid returns the process ID of a process, or 0.
+func (p *processes) Pid(name string) int {
+	found, err := p.find(name)
+	if err != nil {
+		return 0
+	}
+	return found.command.Process.Pid
+}
+
+// Running reports whether a process has not exited.
+func (p *processes) Running(name string) bool {
+	found, err := p.find(name)
+	if err != nil {
+		return false
+	}
+	select {
+	case <-found.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// Signal sends a signal to a process.
+func (p *processes) Signal(name string, signal syscall.Signal) error {
+	found, err := p.find(name)
+	if err != nil {
+		return err
+	}
+	return found.command.Process.Signal(signal)
+}
+
+// Kill ends a process at once and waits for it.
+func (p *processes) Kill(name string) error {
+	found, err := p.find(name)
+	if err != nil {
+		return err
+	}
+	_ = found.command.Process.Kill()
+	<-found.exited
+	return nil
+}
+
+// AwaitExit waits until a process has exited.
+func (p *processes) AwaitExit(name string) error {
+	return Await("exit of "+name, func() bool { return !p.Running(name) })
+}
+
+// Close kills every process.
+func (p *processes) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, started := range p.running {
+		_ = started.command.Process.Kill()
+		<-started.exited
+	}
+}
