Run attempts on the event loop of their caller's connection

Cause: a call woke four threads in the daemon (event loop, attempt goroutine, network poller, event loop again); each wake-up costs time and has a tail. Change: connections to targets are enrolled in the event loop that serves the caller; requests, answers and the end of a call run there without a goroutine.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -6,7 +6,6 @@
 package callerserver
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -42,10 +41,19 @@
 	Serve(request *fasthttp.Request, exchange *Exchange)
 }
 
+// Enrolled is the context of a connection that others have added to the server's
+// event loops. Its methods are called on the connection's loop.
+type Enrolled interface {
+	Opened(conn gnet.Conn)
+	Traffic(conn gnet.Conn) gnet.Action
+	Closed(err error)
+}
+
 // Exchange is one request and its answer.
 type Exchange struct {
 	server  *Server
 	conn    gnet.Conn
+	loop    gnet.EventLoop
 	state   *connState
 	replied atomic.Bool
 	close   bool
@@ -77,18 +85,15 @@
 	}
 }
 
+// Loop returns the event loop of the caller's connection.
+func (e *Exchange) Loop() gnet.EventLoop { return e.loop }
+
 // Reply sends the answer. It may be called once, from any goroutine.
 func (e *Exchange) Reply(response *fasthttp.Response) {
 	if e.replied.Swap(true) {
 		return
 	}
-	if e.close {
-		response.SetConnectionClose()
-	}
-	buffer := bytebufferpool.Get()
-	writer := bufio.NewWriterSize(buffer, buffer.Len()+4096)
-	_ = response.Write(writer)
-	_ = writer.Flush()
+	buffer := e.serialize(response)
 	err := e.conn.AsyncWrite(buffer.B, func(conn gnet.Conn, _ error) error {
 		bytebufferpool.Put(buffer)
 		return e.server.written(conn, e)
@@ -98,8 +103,32 @@
 	}
 }
 
+// ReplyOnLoop is Reply for code that runs on Loop. It saves a wake-up of the
+// event loop.
+func (e *Exchange) ReplyOnLoop(response *fasthttp.Response) {
+	if e.replied.Swap(true) {
+		return
+	}
+	buffer := e.serialize(response)
+	if e.state.open {
+		_, _ = e.conn.Write(buffer.B)
+	}
+	bytebufferpool.Put(buffer)
+	_ = e.server.written(e.conn, e)
+}
+
+func (e *Exchange) serialize(response *fasthttp.Response) *bytebufferpool.ByteBuffer {
+	if e.close {
+		response.SetConnectionClose()
+	}
+	buffer := bytebufferpool.Get()
+	_, _ = response.WriteTo(buffer)
+	return buffer
+}
+
 // connState is touched only on the connection's event loop, but for the times.
 type connState struct {
+	open     bool
 	exchange *Exchange
 	// waitingSince is when the current wait for the caller began, in Unix
 	// nanoseconds; 0 while a request is served.
@@ -158,7 +187,11 @@
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
-	state := &connState{}
+	if enrolled, ok := conn.Context().(Enrolled); ok {
+		enrolled.Opened(conn)
+		return nil, gnet.None
+	}
+	state := &connState{open: true}
 	state.waitingSince.Store(time.Now().UnixNano())
 	conn.SetContext(state)
 	s.conns.Store(conn, state)
@@ -166,9 +199,14 @@
 }
 
 // OnClose implements gnet.EventHandler.
-func (s *Server) OnClose(conn gnet.Conn, _ error) gnet.Action {
+func (s *Server) OnClose(conn gnet.Conn, err error) gnet.Action {
+	if enrolled, ok := conn.Context().(Enrolled); ok {
+		enrolled.Closed(err)
+		return gnet.None
+	}
 	s.conns.Delete(conn)
 	state := conn.Context().(*connState)
+	state.open = false
 	if exchange := state.exchange; exchange != nil {
 		state.exchange = nil
 		exchange.callerGone()
@@ -178,6 +216,9 @@
 
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(conn gnet.Conn) gnet.Action {
+	if enrolled, ok := conn.Context().(Enrolled); ok {
+		return enrolled.Traffic(conn)
+	}
 	state := conn.Context().(*connState)
 	if state.exchange != nil {
 		if conn.InboundBuffered() > s.limits.HeaderBytes+s.limits.BodyBytes {
@@ -211,7 +252,7 @@
 func (s *Server) serve(conn gnet.Conn, state *connState, request *fasthttp.Request) {
 	state.partial.Store(false)
 	state.waitingSince.Store(0)
-	exchange := &Exchange{server: s, conn: conn, state: state, close: request.Header.ConnectionClose()}
+	exchange := &Exchange{server: s, conn: conn, loop: conn.EventLoop(), state: state, close: request.Header.ConnectionClose()}
 	state.exchange = exchange
 	s.inFlight.Add(1)
 	s.handler.Serve(request, exchange)
@@ -222,6 +263,9 @@
 	s.inFlight.Add(-1)
 	exchange.state.exchange = nil
 	exchange.state.waitingSince.Store(time.Now().UnixNano())
+	if !exchange.state.open {
+		return nil
+	}
 	if exchange.close {
 		return conn.Close()
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -110,6 +110,7 @@
 	go func() { failed <- d.callers.Run(d.settings.CallerAddress(), d.settings.EventLoops) }()
 	go d.follower.Run()
 	go d.followVMs()
+	go d.sweep()
 	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
@@ -154,6 +155,22 @@
 	drainPoll = 50 * time.Millisecond
 )
 
+// sweepInterval is the pause between two looks for overdue attempts.
+const sweepInterval = 250 * time.Millisecond
+
+func (d *Daemon) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.stop:
+			return
+		case now := <-ticker.C:
+			d.proxy.Sweep(now)
+		}
+	}
+}
+
 func (d *Daemon) followVMs() {
 	var seen platform.Version
 	for {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
@@ -50,7 +52,7 @@
 		return
 	}
 	if c.key == nil {
-		c.start()
+		c.start(exchange.Loop())
 		return
 	}
 	p.table.Begin(now, *c.key, fingerprint(request), c.decided)
@@ -170,7 +172,7 @@
 func (c *call) decided(decision idempotency.Decision) {
 	switch decision.Verdict {
 	case idempotency.Run:
-		c.start()
+		c.start(nil)
 	case idempotency.Replay:
 		c.replay(decision.Outcome)
 	case idempotency.Mismatch:
@@ -180,15 +182,17 @@
 	}
 }
 
-func (c *call) start() {
+// start passes the call to the scheduler. Current is the event loop that the
+// caller runs on, or nil.
+func (c *call) start(current gnet.EventLoop) {
 	c.exchange.OnCallerGone(c.abandon)
-	c.shard.event(func(now time.Time) []dispatch.Action {
+	c.shard.event(current, func(now time.Time) []dispatch.Action {
 		return c.shard.scheduler.Arrive(now, &c.decision)
 	})
 }
 
 func (c *call) abandon() {
-	c.shard.event(func(now time.Time) []dispatch.Action {
+	c.shard.event(c.exchange.Loop(), func(now time.Time) []dispatch.Action {
 		return c.shard.scheduler.Abandon(now, &c.decision)
 	})
 }
@@ -209,14 +213,27 @@
 	}
 }
 
+// onLoop runs f on the call's event loop: at once if that is the current one.
+func (c *call) onLoop(current gnet.EventLoop, f func()) {
+	loop := c.exchange.Loop()
+	if loop == current {
+		f()
+		return
+	}
+	_ = loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		f()
+		return nil
+	}))
+}
+
 // settle carries out the end of the call.
-func (c *call) settle(action dispatch.Action) {
+func (c *call) settle(current gnet.EventLoop, action dispatch.Action) {
 	switch action.Kind {
 	case dispatch.Reply:
 		response := action.Answer.(*fasthttp.Response)
 		c.recordAnswer(response)
 		response.Header.Set(wire.HeaderOutcome, wire.OutcomeRan)
-		c.exchange.Reply(response)
+		c.send(current, response)
 	case dispatch.Late:
 		c.recordAnswer(action.Answer.(*fasthttp.Response))
 	case dispatch.Refuse:
@@ -228,6 +245,16 @@
 	}
 }
 
+// send answers the caller with a target's answer and releases it.
+func (c *call) send(current gnet.EventLoop, response *fasthttp.Response) {
+	if current == c.exchange.Loop() {
+		c.exchange.ReplyOnLoop(response)
+	} else {
+		c.exchange.Reply(response)
+	}
+	fasthttp.ReleaseResponse(response)
+}
+
 func (c *call) recordAnswer(response *fasthttp.Response) {
 	if c.key != nil {
 		c.record(idempotency.Outcome{Status: idempotency.Ran, Answer: answerOf(response)})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
@@ -55,6 +56,10 @@
 	p.shards.Store(&next)
 }
 
+// Sweep ends overdue attempts and closes idle connections to targets. It has to
+// be called a few times a second.
+func (p *Proxy) Sweep(now time.Time) { p.client.Sweep(now) }
+
 // Close closes the idle connections to targets.
 func (p *Proxy) Close() { p.client.Close() }
 
@@ -125,8 +130,9 @@
 // actionBuffer holds the actions of one event on the stack.
 type actionBuffer [8]dispatch.Action
 
-// event passes an event to the scheduler and carries out its actions.
-func (s *shard) event(send func(now time.Time) []dispatch.Action) {
+// event passes an event to the scheduler and carries out its actions. Current is
+// the event loop that the caller runs on, or nil.
+func (s *shard) event(current gnet.EventLoop, send func(now time.Time) []dispatch.Action) {
 	var buffer actionBuffer
 	s.mu.Lock()
 	actions := append(buffer[:0], send(time.Now())...)
@@ -134,7 +140,7 @@
 	bindHandles(actions)
 	s.mu.Unlock()
 	for _, action := range actions {
-		s.perform(action)
+		s.perform(current, action)
 	}
 }
 
@@ -159,31 +165,34 @@
 }
 
 func (s *shard) expire() {
-	s.event(func(now time.Time) []dispatch.Action {
+	s.event(nil, func(now time.Time) []dispatch.Action {
 		s.wakeAt = time.Time{}
 		return s.scheduler.Expire(now)
 	})
 }
 
-func (s *shard) perform(action dispatch.Action) {
+func (s *shard) perform(current gnet.EventLoop, action dispatch.Action) {
+	payload := action.Call.Payload.(*call)
 	switch action.Kind {
 	case dispatch.Start:
-		go s.run(action.Attempt, action.Attempt.Handle.(*targetclient.Attempt))
+		payload.onLoop(current, func() { s.run(payload, action.Attempt) })
 	case dispatch.Cancel:
 		action.Attempt.Handle.(*targetclient.Attempt).Cancel()
 	default:
-		action.Call.Payload.(*call).settle(action)
+		payload.settle(current, action)
 	}
 }
 
-// run makes one attempt and reports its end.
-func (s *shard) run(attempt *dispatch.Attempt, handle *targetclient.Attempt) {
-	payload := attempt.Call.Payload.(*call)
+// run makes one attempt on the call's event loop and reports its end.
+func (s *shard) run(payload *call, attempt *dispatch.Attempt) {
+	loop := payload.exchange.Loop()
 	request := payload.attemptRequest(attempt, time.Now())
-	response, err := s.proxy.client.Do(handle, attempt.Target.Address, payload.attemptDeadline(), request)
-	fasthttp.ReleaseRequest(request)
-	result := resultOf(response, err)
-	s.event(func(now time.Time) []dispatch.Action {
-		return s.scheduler.Finished(now, attempt, result)
+	handle := attempt.Handle.(*targetclient.Attempt)
+	s.proxy.client.Start(loop, handle, attempt.Target.Address, payload.attemptDeadline(), request, func(response *fasthttp.Response, err error) {
+		fasthttp.ReleaseRequest(request)
+		result := resultOf(response, err)
+		s.event(loop, func(now time.Time) []dispatch.Action {
+			return s.scheduler.Finished(now, attempt, result)
+		})
 	})
 }
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -1,163 +1,178 @@
-// Package targetclient sends attempts to targets over pooled connections.
+// Package targetclient sends attempts to targets over pooled connections that
+// live on the event loops of the caller server.
 //
-// A connection carries one attempt at a time and is closed when an attempt is
-// canceled or fails, so a late answer can't reach another call.
+// An attempt runs on the event loop of its caller's connection, so a call needs
+// no other thread. A connection carries one attempt at a time and is closed when
+// an attempt is canceled or fails, so a late answer can't reach another call.
 package targetclient
 
 import (
-	"errors"
-	"fmt"
+	"context"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
-
-	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
-// MaxAnswerBytes bounds the body of an answer.
-const MaxAnswerBytes = 8 << 20
-
-// NotSentError reports an attempt of which no byte has left.
-type NotSentError struct{ Cause error }
-
-// Error implements error.
-func (e *NotSentError) Error() string { return fmt.Sprintf("targetclient: not sent: %v", e.Cause) }
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Cause }
-
-// LostError reports an attempt that was sent, at least in part, and has no whole
-// answer. The target may have run it.
-type LostError struct{ Cause error }
+const (
+	// MaxAnswerBytes bounds an answer, header included.
+	MaxAnswerBytes = 8 << 20
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 1 * time.Second
+	// idleLimit is how long an idle connection is kept.
+	idleLimit = 30 * time.Second
+)
 
-// Error implements error.
-func (e *LostError) Error() string { return fmt.Sprintf("targetclient: answer lost: %v", e.Cause) }
+// Done takes the end of an attempt, on the attempt's event loop. Errors are
+// *NotSentError and *LostError.
+type Done func(response *fasthttp.Response, err error)
 
-// Unwrap returns the cause.
-func (e *LostError) Unwrap() error { return e.Cause }
+// Client keeps the connections to all targets. Start and Sweep touch only what
+// belongs to the given event loop.
+type Client struct {
+	loops sync.Map // gnet.EventLoop -> *loopPools
+}
 
-// ForeignAnswerError reports an answer to another attempt.
-type ForeignAnswerError struct{ Want, Have string }
+// New returns a client without connections.
+func New() *Client { return &Client{} }
 
-// Error implements error.
-func (e *ForeignAnswerError) Error() string {
-	return fmt.Sprintf("answer is for attempt %q, want %q", e.Have, e.Want)
+// loopPools holds the connections of one event loop. It is touched only on that
+// loop.
+type loopPools struct {
+	loop  gnet.EventLoop
+	pools map[string]*pool
 }
 
-// ErrCanceled is the cause of the errors of canceled attempts.
-var ErrCanceled = errors.New("attempt canceled")
-
-// Attempt is the handle of one attempt. Its zero value is ready for use.
-type Attempt struct {
-	mu       sync.Mutex
-	conn     net.Conn
-	canceled bool
+// pool holds the connections of one event loop to one target.
+type pool struct {
+	address string
+	idle    []*targetConn
+	busy    map[*targetConn]struct{}
 }
 
-// Cancel closes the attempt's connection. It may be called at any time.
-func (a *Attempt) Cancel() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.canceled = true
-	if a.conn != nil {
-		_ = a.conn.Close()
+func (c *Client) poolsOf(loop gnet.EventLoop) *loopPools {
+	if found, ok := c.loops.Load(loop); ok {
+		return found.(*loopPools)
 	}
+	created, _ := c.loops.LoadOrStore(loop, &loopPools{loop: loop, pools: map[string]*pool{}})
+	return created.(*loopPools)
 }
 
-// bind ties the attempt to its connection; false means canceled.
-func (a *Attempt) bind(conn net.Conn) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conn = conn
-	return !a.canceled
+func (l *loopPools) pool(address string) *pool {
+	p := l.pools[address]
+	if p == nil {
+		p = &pool{address: address, busy: map[*targetConn]struct{}{}}
+		l.pools[address] = p
+	}
+	return p
 }
 
-// unbind returns false if the attempt was canceled.
-func (a *Attempt) unbind() bool {
-	return a.bind(nil)
+// Start sends a request and calls done once with the whole answer. The attempt
+// is lost at deadline, give or take a sweep. Start must be called on loop, and
+// keeps request until done is called.
+func (c *Client) Start(loop gnet.EventLoop, attempt *Attempt, address string, deadline time.Time, request *fasthttp.Request, done Done) {
+	e := &exchange{attempt: attempt, request: request, deadline: deadline, done: done}
+	attempt.bind(loop, e)
+	p := c.poolsOf(loop).pool(address)
+	if conn := p.take(); conn != nil {
+		conn.send(e)
+		return
+	}
+	go dial(loop, p, e)
 }
 
-// Client keeps the connections to all targets. It is safe for concurrent use.
-type Client struct {
-	mu    sync.Mutex
-	pools map[string]*pool
+// take returns an open idle connection, most recently used first, or nil.
+func (p *pool) take() *targetConn {
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		conn := p.idle[last]
+		p.idle[last] = nil
+		p.idle = p.idle[:last]
+		if conn.quiet() {
+			return conn
+		}
+		conn.close()
+	}
+	return nil
 }
 
-// New returns a client without connections.
-func New() *Client { return &Client{pools: map[string]*pool{}} }
-
-// Do sends a request and reads the whole answer until deadline. The caller
-// releases the response. Errors are *NotSentError and *LostError.
-func (c *Client) Do(attempt *Attempt, address string, deadline time.Time, request *fasthttp.Request) (*fasthttp.Response, error) {
-	pool := c.pool(address)
-	conn, err := pool.get(time.Now())
+// dial opens a connection for an exchange and hands it to the event loop.
+func dial(loop gnet.EventLoop, p *pool, e *exchange) {
+	netConn, err := net.DialTimeout("tcp", p.address, dialTimeout)
 	if err != nil {
-		return nil, &NotSentError{Cause: err}
+		onLoop(loop, func() { e.finish(nil, &NotSentError{Cause: err}) })
+		return
 	}
-	if !attempt.bind(conn) {
-		_ = conn.Close()
-		return nil, &NotSentError{Cause: ErrCanceled}
+	conn := &targetConn{pool: p, loop: loop, first: e}
+	registered, err := loop.Enroll(gnet.NewContext(context.Background(), conn), netConn)
+	if err == nil {
+		err = (<-registered).Err
 	}
-	response, err := exchange(conn, deadline, request)
-	if !attempt.unbind() && err != nil {
-		err = &LostError{Cause: ErrCanceled}
-	}
-	if err != nil || response.ConnectionClose() {
-		_ = conn.Close()
-		return response, err
+	if err != nil {
+		_ = netConn.Close()
+		onLoop(loop, func() { e.finish(nil, &NotSentError{Cause: err}) })
 	}
-	pool.put(conn, time.Now())
-	return response, nil
 }
 
-func exchange(conn *connection, deadline time.Time, request *fasthttp.Request) (*fasthttp.Response, error) {
-	if err := conn.SetDeadline(deadline); err != nil {
-		return nil, &NotSentError{Cause: err}
-	}
-	if err := request.Write(conn.writer); err != nil {
-		return nil, &LostError{Cause: err}
-	}
-	if err := conn.writer.Flush(); err != nil {
-		return nil, &LostError{Cause: err}
-	}
-	response := fasthttp.AcquireResponse()
-	if err := readAnswer(conn, request, response); err != nil {
-		fasthttp.ReleaseResponse(response)
-		return nil, &LostError{Cause: err}
-	}
-	return response, nil
+// onLoop runs f on an event loop. Once the loop is shut down nothing runs.
+func onLoop(loop gnet.EventLoop, f func()) {
+	_ = loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		f()
+		return nil
+	}))
 }
 
-func readAnswer(conn *connection, request *fasthttp.Request, response *fasthttp.Response) error {
-	if err := response.ReadLimitBody(conn.reader, MaxAnswerBytes); err != nil {
-		return err
+// Sweep ends overdue exchanges and closes idle connections on every event loop.
+func (c *Client) Sweep(now time.Time) {
+	c.loops.Range(func(_, value any) bool {
+		pools := value.(*loopPools)
+		onLoop(pools.loop, func() { pools.sweep(now) })
+		return true
+	})
+}
+
+func (l *loopPools) sweep(now time.Time) {
+	for address, p := range l.pools {
+		p.sweepIdle(now)
+		p.sweepBusy(now)
+		if len(p.idle) == 0 && len(p.busy) == 0 {
+			delete(l.pools, address)
+		}
 	}
-	want := string(request.Header.Peek(wire.HeaderAttemptID))
-	have := string(response.Header.Peek(wire.HeaderAttemptID))
-	if have != "" && have != want {
-		return &ForeignAnswerError{Want: want, Have: have}
+}
+
+// sweepIdle closes connections that have been idle too long, oldest first.
+func (p *pool) sweepIdle(now time.Time) {
+	for len(p.idle) > 0 && now.Sub(p.idle[0].idleAt) > idleLimit {
+		conn := p.idle[0]
+		p.idle = p.idle[1:]
+		conn.close()
 	}
-	return nil
 }
 
-func (c *Client) pool(address string) *pool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.pools[address]
-	if !ok {
-		p = &pool{address: address}
-		c.pools[address] = p
+func (p *pool) sweepBusy(now time.Time) {
+	for conn := range p.busy {
+		if conn.current != nil && now.After(conn.current.deadline) {
+			conn.fail(ErrTimeout)
+		}
 	}
-	return p
 }
 
 // Close closes all idle connections.
 func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.pools {
-		p.close()
+	c.Sweep(time.Now().Add(2 * idleLimit))
+}
+
+// serialize returns the request's bytes. The caller returns the buffer to the
+// pool.
+func serialize(request *fasthttp.Request) (*bytebufferpool.ByteBuffer, error) {
+	buffer := bytebufferpool.Get()
+	if _, err := request.WriteTo(buffer); err != nil {
+		bytebufferpool.Put(buffer)
+		return nil, err
 	}
+	return buffer, nil
 }
--- /dev/null
+++ b/internal/targetclient/errors.go
@@ -0,0 +1,48 @@
+package targetclient
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Causes of the errors of attempts.
+var (
+	// ErrCanceled means that Attempt.Cancel was called.
+	ErrCanceled = errors.New("attempt canceled")
+	// ErrTimeout means that the attempt's deadline has passed.
+	ErrTimeout = errors.New("attempt timed out")
+	// ErrClosed means that the target closed the connection before a whole answer.
+	ErrClosed = errors.New("connection closed")
+	// ErrTooLarge means that the answer is above MaxAnswerBytes.
+	ErrTooLarge = errors.New("answer too large")
+	// ErrNoLength means that the answer doesn't tell its length, so that a whole
+	// one can't be told from a part.
+	ErrNoLength = errors.New("answer without a length")
+)
+
+// NotSentError reports an attempt of which no byte has left.
+type NotSentError struct{ Cause error }
+
+// Error implements error.
+func (e *NotSentError) Error() string { return fmt.Sprintf("targetclient: not sent: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Cause }
+
+// LostError reports an attempt that was sent, at least in part, and has no whole
+// answer. The target may have run it.
+type LostError struct{ Cause error }
+
+// Error implements error.
+func (e *LostError) Error() string { return fmt.Sprintf("targetclient: answer lost: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// ForeignAnswerError reports an answer to another attempt.
+type ForeignAnswerError struct{ Want, Have string }
+
+// Error implements error.
+func (e *ForeignAnswerError) Error() string {
+	return fmt.Sprintf("answer is for attempt %q, want %q", e.Have, e.Want)
+}
