--- a/client/client.go
+++ b/client/client.go
@@ -1,12 +1,13 @@
 // Package client calls services through poplarwheel's entry VMs.
 //
 // A Client asks which entry VMs to use, keeps the answer for as long as it is
-// told, numbers its idempotency keys and resends them unchanged.
+// told, makes idempotency keys and resends requests under the same key.
+// docs/CALLERS.md describes the interface that it follows.
 package client
 
 import (
-	"encoding/json"
-	"fmt"
+	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -30,25 +31,10 @@
 	Unknown Outcome = wire.OutcomeUnknown
 )
 
-// ErrNoEntry reports that no known entry VM answered.
-type NoEntryError struct{ Cause error }
-
-// Error implements error.
-func (e *NoEntryError) Error() string { return fmt.Sprintf("client: no entry VM answers: %v", e.Cause) }
-
-// Unwrap returns the cause.
-func (e *NoEntryError) Unwrap() error { return e.Cause }
-
-// StatusError reports an unexpected answer to the question which entry VMs to
-// use.
-type StatusError struct{ Status int }
-
-// Error implements error.
-func (e *StatusError) Error() string { return fmt.Sprintf("client: status %d", e.Status) }
-
 // Options configure a Client.
 type Options struct {
-	// Bootstrap are addresses ("ip:port") of entry VMs to ask first.
+	// Bootstrap are addresses ("ip:port") of entry VMs to ask first. Any entry
+	// VM will do; several keep a lost VM from stopping the first question.
 	Bootstrap []string
 	// Service is the service to call.
 	Service string
@@ -56,30 +42,37 @@
 	MaxConnections int
 }
 
+// defaultMaxConnections bounds the connections to each entry VM.
+const defaultMaxConnections = 512
+
 // Client calls one service. It is safe for concurrent use.
 type Client struct {
-	options  Options
-	http     *fasthttp.Client
-	requests atomic.Uint64
-	turn     atomic.Uint64
-
-	mu      sync.Mutex
-	entries wire.EntriesReply
-	until   time.Time
+	options   Options
+	directory directory
+	requests  atomic.Uint64
+	turn      atomic.Uint64
+
+	mu    sync.Mutex
+	hosts map[string]*fasthttp.HostClient
 }
 
 // New returns a client.
 func New(options Options) *Client {
 	if options.MaxConnections == 0 {
-		options.MaxConnections = 512
+		options.MaxConnections = defaultMaxConnections
 	}
-	return &Client{
-		options: options,
-		http: &fasthttp.Client{
-			MaxConnsPerHost:           options.MaxConnections,
-			MaxIdemponentCallAttempts: 1,
-			NoDefaultUserAgentHeader:  true,
-		},
+	c := &Client{options: options, hosts: map[string]*fasthttp.HostClient{}}
+	c.directory.ask = c.ask
+	c.directory.bootstrap = options.Bootstrap
+	return c
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, host := range c.hosts {
+		host.CloseIdleConnections()
 	}
 }
 
@@ -91,7 +84,8 @@
 	Path string
 	// Body is the request's body.
 	Body []byte
-	// Timeout is the time within which the answer counts.
+	// Timeout is the time within which the answer counts. The entry daemon
+	// rounds it down to the agreed time of the request type.
 	Timeout time.Duration
 	// Key is the idempotency key of a non-idempotent request, from NewKey.
 	Key string
@@ -104,14 +98,16 @@
 	Outcome Outcome
 	// Status is the HTTP status.
 	Status int
-	// Reason is the error code of an answer that an entry daemon made.
+	// Reason is the reason code of an answer that an entry daemon made.
 	Reason string
 	Body   []byte
-	// Entry is the entry VM that answered.
+	// Entry is the address of the entry VM that answered.
 	Entry string
+	// Resends is the number of times the request was sent again.
+	Resends int
 }
 
-// NewKey returns a new idempotency key.
+// NewKey returns a new idempotency key. The error is a *NoEntryError.
 func (c *Client) NewKey() (string, error) {
 	entries, err := c.Entries()
 	if err != nil {
@@ -121,67 +117,61 @@
 }
 
 // Entries returns the entry VMs to use. The error is a *NoEntryError.
-func (c *Client) Entries() (wire.EntriesReply, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if time.Now().Before(c.until) {
-		return c.entries, nil
-	}
-	candidates := append(append([]string(nil), c.entries.Entries...), c.options.Bootstrap...)
-	var last error
-	for _, address := range candidates {
-		reply, err := c.ask(address)
-		if err != nil {
-			last = err
-			continue
-		}
-		c.entries = reply
-		c.until = time.Now().Add(time.Duration(reply.KeepSeconds) * time.Second)
-		return reply, nil
-	}
-	return wire.EntriesReply{}, &NoEntryError{Cause: last}
-}
-
-// askTimeout bounds the question which entry VMs to use.
-const askTimeout = 2 * time.Second
+func (c *Client) Entries() (Entries, error) { return c.directory.entries(time.Now()) }
 
-func (c *Client) ask(address string) (wire.EntriesReply, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + address + wire.PathEntries)
-	request.URI().QueryArgs().Set("service", c.options.Service)
-	var reply wire.EntriesReply
-	if err := c.http.DoTimeout(request, response, askTimeout); err != nil {
-		return reply, err
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return reply, &StatusError{Status: response.StatusCode()}
-	}
-	err := json.Unmarshal(response.Body(), &reply)
-	return reply, err
+// Do sends a request once, to one of the entry VMs. An entry VM that can't be
+// connected to is passed over. Errors are *NoEntryError and *NotSentError, after
+// which the request was not run, and *LostError, after which its outcome is
+// unknown.
+func (c *Client) Do(request Request) (Answer, error) {
+	return c.DoContext(context.Background(), request)
 }
 
-// Do sends a request once, to one of the entry VMs. An error means that the
-// outcome is unknown, unless it is a *NoEntryError.
-func (c *Client) Do(request Request) (Answer, error) {
+// DoContext is Do with cancellation: when ctx is done, the connection is closed,
+// and the entry daemon cancels the attempts of an idempotent request.
+func (c *Client) DoContext(ctx context.Context, request Request) (Answer, error) {
 	entries, err := c.Entries()
 	if err != nil {
-		return Answer{}, err
+		return Answer{Outcome: NotRun}, err
 	}
 	turn := c.turn.Add(1) + uint64(request.Resend)
-	return c.DoAt(entries.Entries[turn%uint64(len(entries.Entries))], request)
+	count := uint64(len(entries.Addresses))
+	var answer Answer
+	for i := range count {
+		answer, err = c.DoAt(ctx, entries.Addresses[(turn+i)%count], request)
+		var notSent *NotSentError
+		if !errors.As(err, &notSent) {
+			break
+		}
+	}
+	return answer, err
 }
 
 // answerGrace is the time an answer may overrun the request's timeout before
 // the client gives up.
 const answerGrace = time.Second
 
-// DoAt sends a request once, to the entry VM at address.
-func (c *Client) DoAt(address string, r Request) (Answer, error) {
+// DoAt sends a request once, to the entry VM at address. Errors are
+// *NotSentError and *LostError.
+func (c *Client) DoAt(ctx context.Context, address string, r Request) (Answer, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
+	c.fill(request, address, r)
+	if err := c.exchange(ctx, address, r.Timeout+answerGrace, request, response); err != nil {
+		c.directory.forget()
+		return Answer{Outcome: outcomeOf(err), Entry: address}, err
+	}
+	return Answer{
+		Outcome: Outcome(response.Header.Peek(wire.HeaderOutcome)),
+		Status:  response.StatusCode(),
+		Reason:  string(response.Header.Peek(wire.HeaderReason)),
+		Body:    append([]byte(nil), response.Body()...),
+		Entry:   address,
+	}, nil
+}
+
+func (c *Client) fill(request *fasthttp.Request, address string, r Request) {
 	request.SetRequestURI("http://" + address + r.Path)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.Set(wire.HeaderService, c.options.Service)
@@ -189,25 +179,17 @@
 	request.Header.Set(wire.HeaderTimeout, strconv.FormatInt(r.Timeout.Milliseconds(), 10))
 	if r.Key != "" {
 		request.Header.Set(wire.HeaderIdempotencyKey, r.Key)
+	}
+	if r.Key != "" || r.Resend > 0 {
 		request.Header.Set(wire.HeaderResend, strconv.Itoa(r.Resend))
 	}
 	request.SetBodyRaw(r.Body)
-	if err := c.http.DoTimeout(request, response, r.Timeout+answerGrace); err != nil {
-		c.forget()
-		return Answer{Outcome: Unknown, Entry: address}, err
-	}
-	return Answer{
-		Outcome: Outcome(response.Header.Peek(wire.HeaderOutcome)),
-		Status:  response.StatusCode(),
-		Reason:  string(response.Header.Peek(wire.HeaderReason)),
-		Body:    append([]byte(nil), response.Body()...),
-		Entry:   address,
-	}, nil
 }
 
-// forget makes the next call ask again which entry VMs to use.
-func (c *Client) forget() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.until = time.Time{}
+func outcomeOf(err error) Outcome {
+	var notSent *NotSentError
+	if errors.As(err, &notSent) {
+		return NotRun
+	}
+	return Unknown
 }
--- /dev/null
+++ b/client/exchange.go
@@ -0,0 +1,63 @@
+package client
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxAnswerBytes bounds the body of an answer.
+const maxAnswerBytes = 8 << 20
+
+// host returns the connections to the entry VM at address.
+func (c *Client) host(address string) *fasthttp.HostClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	host, ok := c.hosts[address]
+	if !ok {
+		host = &fasthttp.HostClient{Addr: address, MaxConns: c.options.MaxConnections}
+		c.hosts[address] = host
+	}
+	return host
+}
+
+// exchange sends a request and reads its answer, once, within timeout and until
+// ctx is done. The library's own calls are not used because they can't be
+// canceled. Errors are *NotSentError and *LostError.
+func (c *Client) exchange(ctx context.Context, address string, timeout time.Duration, request *fasthttp.Request, response *fasthttp.Response) error {
+	host := c.host(address)
+	deadline := time.Now().Add(timeout)
+	if err := ctx.Err(); err != nil {
+		return &NotSentError{Entry: address, Cause: err}
+	}
+	acquired, err := host.AcquireConn(timeout, false)
+	if err != nil {
+		return &NotSentError{Entry: address, Cause: err}
+	}
+	conn := acquired.Conn()
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = conn.SetDeadline(deadline)
+	if err == nil {
+		writer := host.AcquireWriter(conn)
+		err = request.Write(writer)
+		if err == nil {
+			err = writer.Flush()
+		}
+		host.ReleaseWriter(writer)
+	}
+	if err == nil {
+		reader := host.AcquireReader(conn)
+		err = response.ReadLimitBody(reader, maxAnswerBytes)
+		host.ReleaseReader(reader)
+	}
+	if canceled := !stop(); canceled || err != nil || response.ConnectionClose() {
+		host.CloseConn(acquired)
+	} else {
+		host.ReleaseConn(acquired)
+	}
+	if err != nil {
+		return &LostError{Entry: address, Cause: err}
+	}
+	return nil
+}
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -2,6 +2,7 @@
 package e2e
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -27,7 +28,7 @@
 	caller := client.New(client.Options{Bootstrap: []string{f.entryAddress(0)}, Service: "stock"})
 	entries, err := caller.Entries()
 	require.NoError(t, err)
-	require.ElementsMatch(t, []string{f.entryAddress(0), f.entryAddress(1)}, entries.Entries)
+	require.ElementsMatch(t, []string{f.entryAddress(0), f.entryAddress(1)}, entries.Addresses)
 
 	for i := range 40 {
 		body := fmt.Sprintf(`{"sku":%d}`, i)
@@ -47,11 +48,11 @@
 	key, err := caller.NewKey()
 	require.NoError(t, err)
 	request := client.Request{Type: "book", Path: "/book", Body: []byte("rope"), Timeout: 5 * time.Second, Key: key}
-	first, err := caller.DoAt(entry, request)
+	first, err := caller.DoAt(context.Background(), entry, request)
 	require.NoError(t, err)
 	require.Equal(t, client.Ran, first.Outcome, "reason %s", first.Reason)
 	request.Resend = 1
-	second, err := caller.DoAt(entry, request)
+	second, err := caller.DoAt(context.Background(), entry, request)
 	require.NoError(t, err)
 	require.Equal(t, client.Ran, second.Outcome)
 	require.Equal(t, first.Body, second.Body)
