Ask, check and explain the questionnaire; add load; document exit codes

Ruled out: a template format beside the answers' own (comment lines do); text as the default output of propose (accept reads it).

--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -6,10 +6,8 @@
 	"time"
 
 	"github.com/integrii/flaggy"
-	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/client"
-	"github.com/poplarwheel/poplarwheel/internal/daemon"
 )
 
 // callCommand sends one request.
@@ -27,14 +25,18 @@
 	c.path = "/"
 	c.timeoutMs = 1000
 	sub := flaggy.NewSubcommand("call")
-	sub.Description = "send one request and print the answer"
+	sub.Description = "send one request and print the answer as JSON"
+	sub.AdditionalHelpAppend = examples(
+		"call --entries 10.20.0.11:8080,10.20.0.12:8080 --service stock --type availability --path /availability",
+		"call --entries 10.20.0.11:8080 --service bookings --type book --once --body @booking.json",
+	)
 	sub.String(&c.entries, "e", "entries", "ip:port of entry VMs to ask, separated by commas")
 	sub.String(&c.service, "s", "service", "service to call")
 	sub.String(&c.requestType, "t", "type", "request type")
-	sub.String(&c.path, "", "path", "path of the request (default /)")
-	sub.String(&c.body, "b", "body", "body of the request")
+	sub.String(&c.path, "", "path", "path of the request")
+	sub.String(&c.body, "b", "body", "body of the request; @file reads a file, @- standard input")
 	sub.Bool(&c.once, "", "once", "send an idempotency key")
-	sub.Int(&c.timeoutMs, "", "timeout-ms", "time for the answer in milliseconds (default 1000)")
+	sub.Int(&c.timeoutMs, "", "timeout-ms", "time for the answer in milliseconds")
 	return sub
 }
 
@@ -48,21 +50,23 @@
 }
 
 func (c *callCommand) run(streams Streams) error {
-	caller := client.New(client.Options{Bootstrap: strings.Split(c.entries, ","), Service: c.service})
-	request := client.Request{
-		Type:    c.requestType,
-		Path:    c.path,
-		Body:    []byte(c.body),
-		Timeout: time.Duration(c.timeoutMs) * time.Millisecond,
+	err := requireFlags(requirement{"entries", c.entries}, requirement{"service", c.service}, requirement{"type", c.requestType})
+	if err != nil {
+		return err
+	}
+	request, err := c.request(streams)
+	if err != nil {
+		return err
 	}
+	caller := client.New(client.Options{Bootstrap: strings.Split(c.entries, ","), Service: c.service})
 	if c.once {
-		key, err := caller.NewKey()
-		if err != nil {
+		if request.Key, err = caller.NewKey(); err != nil {
 			return err
 		}
-		request.Key = key
 	}
-	answer, err := caller.Do(request)
+	ctx, cancel := interrupted()
+	defer cancel()
+	answer, err := caller.DoContext(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -75,21 +79,27 @@
 	})
 }
 
-// dumpCommand prints the state of a daemon.
-type dumpCommand struct{ admin string }
-
-func (c *dumpCommand) subcommand() *flaggy.Subcommand {
-	sub := flaggy.NewSubcommand("dump")
-	sub.Description = "print the state of an entry daemon"
-	sub.String(&c.admin, "", "admin", "ip:port of the daemon's admin port")
-	return sub
+func (c *callCommand) request(streams Streams) (client.Request, error) {
+	request := client.Request{
+		Type:    c.requestType,
+		Path:    c.path,
+		Body:    []byte(c.body),
+		Timeout: time.Duration(c.timeoutMs) * time.Millisecond,
+	}
+	path, isFile := strings.CutPrefix(c.body, "@")
+	if !isFile {
+		return request, nil
+	}
+	var err error
+	request.Body, err = readInput(streams, path)
+	return request, err
 }
 
-func (c *dumpCommand) run(streams Streams) error {
-	_, body, err := fasthttp.GetTimeout(nil, "http://"+c.admin+daemon.PathDump, platformTimeout)
-	if err != nil {
-		return err
+// decodeAnswer returns a JSON body as it is, and any other as a JSON string.
+func decodeAnswer(body []byte) json.RawMessage {
+	if json.Valid(body) {
+		return body
 	}
-	_, err = streams.Out.Write(append(body, '\n'))
-	return err
+	quoted, _ := json.Marshal(string(body))
+	return quoted
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -4,28 +4,15 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/integrii/flaggy"
 )
 
-// Exit codes.
-const (
-	// ExitOK means success.
-	ExitOK = 0
-	// ExitFailure means that the command was understood and failed.
-	ExitFailure = 1
-	// ExitUsage means that the command line or an input file is wrong.
-	ExitUsage = 2
-	// ExitConflict means that another operator changed the configuration first.
-	ExitConflict = 3
-)
-
 // Version is the version of the binary.
 const Version = "0.1.0"
 
@@ -44,21 +31,9 @@
 	run(streams Streams) error
 }
 
-// UsageError reports a wrong command line or input file.
-type UsageError struct{ Cause error }
-
-// Error implements error.
-func (e *UsageError) Error() string { return e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *UsageError) Unwrap() error { return e.Cause }
-
 // Main runs the subcommand that args name and returns the exit code.
 func Main(args []string, streams Streams) int {
-	parser := flaggy.NewParser("poplarwheel")
-	parser.Description = "load balancer for servers whose load shifts in milliseconds"
-	parser.Version = Version
-	parser.ShowHelpOnUnexpected = false
+	parser := newParser()
 	commands := map[*flaggy.Subcommand]command{}
 	for _, c := range topLevel() {
 		sub := c.subcommand()
@@ -66,26 +41,47 @@
 		commands[sub] = c
 	}
 	attachStandins(parser, commands)
+	args, wantsHelp := withoutHelp(args)
+	if slices.Equal(args, []string{"--version"}) {
+		args = []string{"version"}
+	}
 	if err := parser.ParseArgs(args); err != nil {
 		return report(streams, &UsageError{Cause: err})
 	}
+	if wantsHelp {
+		return report(streams, writeHelp(parser, streams.Out))
+	}
 	for sub, c := range commands {
 		if sub.Used {
 			return report(streams, c.run(streams))
 		}
 	}
-	parser.ShowHelp()
+	_ = writeHelp(parser, streams.Err)
 	return ExitUsage
 }
 
+func newParser() *flaggy.Parser {
+	parser := flaggy.NewParser("poplarwheel")
+	parser.Description = "load balancer for servers whose load shifts in milliseconds"
+	parser.Version = Version
+	parser.ShowHelpOnUnexpected = true
+	parser.ShowHelpWithHFlag = false
+	parser.ShowCompletion = false
+	parser.DisableShowVersionWithVersion()
+	parser.AdditionalHelpAppend = exitCodeHelp
+	return parser
+}
+
 func topLevel() []command {
 	return []command{
 		&entryCommand{},
+		&questionnaireCommand{},
 		&proposeCommand{},
 		&acceptCommand{},
 		&statusCommand{},
 		&dumpCommand{},
 		&callCommand{},
+		&loadCommand{},
 		&demoCommand{},
 		&versionCommand{},
 	}
@@ -94,6 +90,7 @@
 func attachStandins(parser *flaggy.Parser, commands map[*flaggy.Subcommand]command) {
 	parent := flaggy.NewSubcommand("standin")
 	parent.Description = "run a small stand-in of an outside system, for tests"
+	parent.AdditionalHelpAppend = examples("standin platform --listen 127.0.0.1:7000", "standin target --listen 127.0.0.2:8000 --name stock-1")
 	for _, c := range []command{&standinPlatformCommand{}, &standinTargetCommand{}} {
 		sub := c.subcommand()
 		parent.AttachSubcommand(sub, 1)
@@ -102,25 +99,6 @@
 	parser.AttachSubcommand(parent, 1)
 }
 
-func report(streams Streams, err error) int {
-	if err == nil {
-		return ExitOK
-	}
-	_, _ = fmt.Fprintln(streams.Err, "poplarwheel:", err)
-	return exitCode(err)
-}
-
-func exitCode(err error) int {
-	var usage *UsageError
-	if errors.As(err, &usage) {
-		return ExitUsage
-	}
-	if isConflict(err) {
-		return ExitConflict
-	}
-	return ExitFailure
-}
-
 // readInput reads a file, or standard input for "-".
 func readInput(streams Streams, path string) ([]byte, error) {
 	if path == "-" {
@@ -128,7 +106,7 @@
 	}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return nil, &UsageError{Cause: err}
+		return nil, &InputError{Path: path, Cause: err}
 	}
 	return data, nil
 }
@@ -143,17 +121,3 @@
 func interrupted() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 }
-
-// versionCommand prints the version.
-type versionCommand struct{}
-
-func (c *versionCommand) subcommand() *flaggy.Subcommand {
-	sub := flaggy.NewSubcommand("version")
-	sub.Description = "print the version"
-	return sub
-}
-
-func (c *versionCommand) run(streams Streams) error {
-	_, err := fmt.Fprintln(streams.Out, "poplarwheel", Version)
-	return err
-}
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -32,15 +32,19 @@
 	c.seed = 1
 	sub := flaggy.NewSubcommand("demo")
 	sub.Description = "run two whole deployments on loopback and check every invariant"
-	sub.Duration(&c.duration, "d", "duration", "time over which requests are sent (default 15s)")
+	sub.AdditionalHelpAppend = examples("demo", "demo --duration 60s --json > summary.json", "demo --serve")
+	sub.Duration(&c.duration, "d", "duration", "time over which requests are sent")
 	sub.Bool(&c.serve, "", "serve", "go on until interrupted")
 	sub.Bool(&c.json, "", "json", "print the summary as JSON, and progress on standard error")
-	sub.String(&c.logLevel, "", "log-level", "level of the daemons' logs on standard error (default none)")
-	sub.Int(&c.seed, "", "seed", "seed of the arrivals and service times (default 1)")
+	sub.String(&c.logLevel, "", "log-level", "level of the daemons' logs on standard error")
+	sub.Int(&c.seed, "", "seed", "seed of the arrivals and service times")
 	return sub
 }
 
 func (c *demoCommand) run(streams Streams) error {
+	if c.duration <= 0 {
+		return &BadFlagError{Flag: "duration", Want: "above 0"}
+	}
 	log := logging.New(streams.Err, c.logLevel)
 	invariant.OnBreach(func(breach *invariant.BreachError) {
 		_, _ = fmt.Fprintln(streams.Err, breach)
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -6,6 +6,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
+	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/logging"
 	"github.com/poplarwheel/poplarwheel/internal/settings"
 )
@@ -19,25 +20,33 @@
 func (c *entryCommand) subcommand() *flaggy.Subcommand {
 	sub := flaggy.NewSubcommand("entry")
 	sub.Description = "run the entry daemon"
+	sub.AdditionalHelpAppend = examples("entry --settings entry.json", "entry --settings entry.json --check", "entry --settings - < entry.json")
 	sub.String(&c.settingsPath, "s", "settings", "settings file, - for standard input")
 	sub.Bool(&c.check, "", "check", "check the settings and exit")
 	return sub
 }
 
 func (c *entryCommand) run(streams Streams) error {
+	if err := requireFlags(requirement{"settings", c.settingsPath}); err != nil {
+		return err
+	}
 	data, err := readInput(streams, c.settingsPath)
 	if err != nil {
 		return err
 	}
 	parsed, err := settings.Parse(data)
 	if err != nil {
-		return &UsageError{Cause: fmt.Errorf("%s: %w", c.settingsPath, err)}
+		return &InputError{Path: c.settingsPath, Cause: err}
 	}
 	if c.check {
 		_, err := fmt.Fprintln(streams.Out, "settings are valid")
 		return err
 	}
+	log := logging.New(streams.Err, parsed.LogLevel)
+	invariant.OnBreach(func(breach *invariant.BreachError) {
+		log.WithField("invariant", breach.Name).WithField("detail", breach.Detail).Error("invariant breached")
+	})
 	ctx, cancel := interrupted()
 	defer cancel()
-	return daemon.New(parsed, logging.New(streams.Err, parsed.LogLevel)).Run(ctx)
+	return daemon.New(parsed, log).Run(ctx)
 }
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -40,11 +40,15 @@
 func (c *standinPlatformCommand) subcommand() *flaggy.Subcommand {
 	sub := flaggy.NewSubcommand("platform")
 	sub.Description = "run the stand-in of the platform"
+	sub.AdditionalHelpAppend = examples("standin platform --listen 127.0.0.1:7000")
 	sub.String(&c.listen, "l", "listen", "ip:port to listen on")
 	return sub
 }
 
 func (c *standinPlatformCommand) run(Streams) error {
+	if err := requireFlags(requirement{"listen", c.listen}); err != nil {
+		return err
+	}
 	return serveUntilInterrupted(c.listen, platformd.NewServer())
 }
 
@@ -63,15 +67,19 @@
 	c.seed = 1
 	sub := flaggy.NewSubcommand("target")
 	sub.Description = "run the stand-in of a target"
+	sub.AdditionalHelpAppend = examples("standin target --listen 127.0.0.2:8000 --name stock-1 --mean-ms 5")
 	sub.String(&c.listen, "l", "listen", "ip:port to listen on")
 	sub.String(&c.name, "n", "name", "VM name")
-	sub.Int(&c.slots, "", "slots", "requests run at once (default 3)")
-	sub.Float64(&c.meanMs, "", "mean-ms", "mean service time in milliseconds (default 5)")
-	sub.Int(&c.seed, "", "seed", "seed of the service times (default 1)")
+	sub.Int(&c.slots, "", "slots", "requests run at once")
+	sub.Float64(&c.meanMs, "", "mean-ms", "mean service time in milliseconds")
+	sub.Int(&c.seed, "", "seed", "seed of the service times")
 	return sub
 }
 
 func (c *standinTargetCommand) run(Streams) error {
+	if err := requireFlags(requirement{"listen", c.listen}, requirement{"name", c.name}); err != nil {
+		return err
+	}
 	return serveUntilInterrupted(c.listen, targetd.New(targetd.Options{
 		Name:        c.name,
 		Slots:       c.slots,
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -71,6 +71,25 @@
 	return Validate(value)
 }
 
+// UnmarshalField decodes data, which holds one field, into value and reports only
+// the problems of that field. The error is an *InvalidError.
+func UnmarshalField(data []byte, value any, field string) error {
+	err := json.Unmarshal(data, value, json.RejectUnknownMembers(true))
+	if err != nil {
+		return decodeError(err)
+	}
+	var invalid *InvalidError
+	if !errors.As(Validate(value), &invalid) {
+		return nil
+	}
+	for _, problem := range invalid.Fields {
+		if problem.Path == field {
+			return &InvalidError{Fields: []*FieldError{problem}}
+		}
+	}
+	return nil
+}
+
 // Validate checks the validate tags of value. The error is an *InvalidError.
 func Validate(value any) error {
 	err := validate.Struct(value)
