--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -71,6 +71,25 @@
 	return Validate(value)
 }
 
+// UnmarshalField decodes data, which holds one field, into value and reports only
+// the problems of that field. The error is an *InvalidError.
+func UnmarshalField(data []byte, value any, field string) error {
+	err := json.Unmarshal(data, value, json.RejectUnknownMembers(true))
+	if err != nil {
+		return decodeError(err)
+	}
+	var invalid *InvalidError
+	if !errors.As(Validate(value), &invalid) {
+		return nil
+	}
+	for _, problem := range invalid.Fields {
+		if problem.Path == field {
+			return &InvalidError{Fields: []*FieldError{problem}}
+		}
+	}
+	return nil
+}
+
 // Validate checks the validate tags of value. The error is an *InvalidError.
 func Validate(value any) error {
 	err := validate.Struct(value)
@@ -92,52 +111,3 @@
 	_, path, _ := strings.Cut(problem.Namespace(), ".")
 	return &FieldError{Path: path, Problem: requirement(problem)}
 }
-
-func requirement(problem validator.FieldError) string {
-	switch problem.Tag() {
-	case "required":
-		return "must be given"
-	case "min", "gte":
-		return fmt.Sprintf("is %v, must be at least %s", problem.Value(), problem.Param())
-	case "max", "lte":
-		return fmt.Sprintf("is %v, must be at most %s", problem.Value(), problem.Param())
-	case "oneof":
-		return fmt.Sprintf("is %q, must be one of: %s", fmt.Sprint(problem.Value()), problem.Param())
-	case "ip", "ipv4":
-		return fmt.Sprintf("is %q, must be an IP address", fmt.Sprint(problem.Value()))
-	case "unique":
-		return "must not repeat a " + strings.ToLower(problem.Param())
-	}
-	return fmt.Sprintf("is %v, must satisfy %s %s", problem.Value(), problem.Tag(), problem.Param())
-}
-
-func decodeError(err error) error {
-	var semantic *json.SemanticError
-	if !errors.As(err, &semantic) {
-		return Invalid("", "not valid JSON: %v", err)
-	}
-	path := pointerPath(string(semantic.JSONPointer))
-	if errors.Is(err, json.ErrUnknownName) {
-		return Invalid(path, "unknown field")
-	}
-	if semantic.GoType != nil {
-		return Invalid(path, "must be a JSON value for %s, not %s", semantic.GoType, semantic.JSONKind)
-	}
-	return Invalid(path, "%v", semantic.Err)
-}
-
-// pointerPath turns the JSON pointer "/services/0/name" into "services[0].name".
-func pointerPath(pointer string) string {
-	var path strings.Builder
-	for token := range strings.SplitSeq(strings.TrimPrefix(pointer, "/"), "/") {
-		if token != "" && strings.Trim(token, "0123456789") == "" {
-			path.WriteString("[" + token + "]")
-			continue
-		}
-		if path.Len() > 0 {
-			path.WriteByte('.')
-		}
-		path.WriteString(token)
-	}
-	return path.String()
-}
