--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -101,12 +101,15 @@
 		config.PolicyRandom,
 		config.PolicyRoundRobin,
 		config.PolicyTwoChoices,
+		config.PolicyTwoReports,
 		config.PolicyLeast,
+		config.PolicyLeastReports,
+		config.PolicyLeastWork,
 		policyOracle,
 	} {
 		rows = append(rows, row{policy: policy, load: load, k: k, faults: usual})
 	}
-	for _, policy := range []string{config.PolicyLeast} {
+	for _, policy := range []string{config.PolicyLeast, config.PolicyLeastReports, config.PolicyLeastWork} {
 		rows = append(rows, row{policy: policy, hedge: true, load: load, k: k, faults: usual})
 	}
 	return rows
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -1,7 +1,9 @@
 // Package balancer picks the target of an attempt.
 //
-// A Policy ranks the targets of one service by what the daemon knows of them.
-// Policies are plain code: time and randomness are passed in.
+// A Policy ranks the targets of one service by what the daemon knows of them:
+// its own attempts in flight and how long they take, load reports carried on
+// answers, and probes. Policies are plain code: time and randomness are passed
+// in. They are not safe for concurrent use.
 package balancer
 
 import (
@@ -13,30 +15,27 @@
 	"github.com/poplarwheel/poplarwheel/internal/config"
 )
 
-// Target is what a daemon knows of one target.
-type Target struct {
-	// Name is the VM name.
-	Name string
-	// Address is the "ip:port" that serves requests.
-	Address string
-	// Zone is the availability zone.
-	Zone string
-	// Slots is the number of requests that the target runs at once.
-	Slots int
-	// MaxConnections bounds this daemon's connections to the target.
-	MaxConnections int
-	// InFlight is the number of this daemon's attempts at the target.
-	InFlight int
-	// Leaving is set once any sign says that the target shuts down.
-	Leaving bool
-}
-
 // Policy picks one of the candidates.
 type Policy interface {
 	// Pick returns the target for the next attempt. Candidates is not empty.
 	Pick(now time.Time, rng *rand.Rand, candidates []*Target) *Target
 }
 
+// Gate is a Policy that holds calls at the entry daemon until a target has a
+// free slot.
+type Gate interface {
+	Policy
+	// Free reports whether the target is believed to have a free slot.
+	Free(now time.Time, target *Target) bool
+}
+
+// Prober is a Policy that ranks targets by probes.
+type Prober interface {
+	Policy
+	// Probed takes the answer to a probe.
+	Probed(now time.Time, target *Target, probe Probe)
+}
+
 // UnknownPolicyError reports a policy name that the program doesn't have.
 type UnknownPolicyError struct{ Name string }
 
@@ -48,15 +47,8 @@
 // New returns the policy with the given name. The error is an
 // *UnknownPolicyError.
 func New(name string) (Policy, error) {
-	switch name {
-	case config.PolicyRandom:
-		return Random{}, nil
-	case config.PolicyRoundRobin:
-		return &RoundRobin{}, nil
-	case config.PolicyLeast:
-		return LeastInFlight{}, nil
-	case config.PolicyTwoChoices:
-		return TwoChoices{}, nil
+	if build, ok := builders[name]; ok {
+		return build(), nil
 	}
 	if build, ok := registered.Load(name); ok {
 		return build.(func() Policy)(), nil
@@ -64,6 +56,18 @@
 	return nil, &UnknownPolicyError{Name: name}
 }
 
+var builders = map[string]func() Policy{
+	config.PolicyRandom:       func() Policy { return Random{} },
+	config.PolicyRoundRobin:   func() Policy { return &RoundRobin{} },
+	config.PolicyLeast:        func() Policy { return LeastInFlight{} },
+	config.PolicyLeastReports: func() Policy { return LeastReports{} },
+	config.PolicyLeastWork:    func() Policy { return LeastWork{} },
+	config.PolicyTwoChoices:   func() Policy { return TwoChoices{} },
+	config.PolicyTwoReports:   func() Policy { return TwoReports{} },
+	config.PolicyPooledProbes: func() Policy { return &PooledProbes{} },
+	config.PolicyFreeSlot:     func() Policy { return FreeSlot{} },
+}
+
 // registered holds the policies of programs that compare policies.
 var registered sync.Map
 
--- a/internal/balancer/policies.go
+++ b/internal/balancer/policies.go
@@ -28,13 +28,49 @@
 
 // Pick implements Policy.
 func (LeastInFlight) Pick(_ time.Time, rng *rand.Rand, candidates []*Target) *Target {
+	return least(rng, candidates, inFlight)
+}
+
+// LeastReports picks a candidate with the least load, by this daemon's attempts
+// and the reports on answers.
+type LeastReports struct{}
+
+// Pick implements Policy.
+func (LeastReports) Pick(now time.Time, rng *rand.Rand, candidates []*Target) *Target {
+	return least(rng, candidates, func(t *Target) float64 { return t.Load(now) })
+}
+
+// TwoChoices picks the better of two random candidates by this daemon's
+// attempts in flight.
+type TwoChoices struct{}
+
+// Pick implements Policy.
+func (TwoChoices) Pick(_ time.Time, rng *rand.Rand, candidates []*Target) *Target {
+	return better(rng, candidates, inFlight)
+}
+
+// TwoReports picks the better of two random candidates by this daemon's attempts
+// and the reports on answers.
+type TwoReports struct{}
+
+// Pick implements Policy.
+func (TwoReports) Pick(now time.Time, rng *rand.Rand, candidates []*Target) *Target {
+	return better(rng, candidates, func(t *Target) float64 { return t.Load(now) })
+}
+
+func inFlight(t *Target) float64 { return float64(t.InFlight) }
+
+// least returns a candidate with the lowest score, ties broken at random.
+func least(rng *rand.Rand, candidates []*Target, score func(*Target) float64) *Target {
 	best := candidates[0]
+	lowest := score(best)
 	ties := 1
 	for _, candidate := range candidates[1:] {
+		current := score(candidate)
 		switch {
-		case candidate.InFlight < best.InFlight:
-			best, ties = candidate, 1
-		case candidate.InFlight == best.InFlight:
+		case current < lowest:
+			best, lowest, ties = candidate, current, 1
+		case current == lowest:
 			ties++
 			if rng.IntN(ties) == 0 {
 				best = candidate
@@ -44,16 +80,18 @@
 	return best
 }
 
-// TwoChoices picks the better of two random candidates by this daemon's
-// attempts in flight.
-type TwoChoices struct{}
-
-// Pick implements Policy.
-func (TwoChoices) Pick(_ time.Time, rng *rand.Rand, candidates []*Target) *Target {
-	first := candidates[rng.IntN(len(candidates))]
-	second := candidates[rng.IntN(len(candidates))]
-	if second.InFlight < first.InFlight {
-		return second
+// better returns the lower score of two different random candidates.
+func better(rng *rand.Rand, candidates []*Target, score func(*Target) float64) *Target {
+	if len(candidates) == 1 {
+		return candidates[0]
+	}
+	i := rng.IntN(len(candidates))
+	j := rng.IntN(len(candidates) - 1)
+	if j >= i {
+		j++
+	}
+	if score(candidates[j]) < score(candidates[i]) {
+		return candidates[j]
 	}
-	return first
+	return candidates[i]
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,8 +18,20 @@
 const (
 	PolicyRandom     = "random"
 	PolicyRoundRobin = "round-robin"
-	PolicyLeast      = "least-in-flight"
+	// PolicyLeast ranks by the daemon's own attempts in flight.
+	PolicyLeast = "least-in-flight"
+	// PolicyLeastReports adds the load reports carried on answers.
+	PolicyLeastReports = "least-reports"
+	// PolicyLeastWork ranks by the expected work: load times recent slowness.
+	PolicyLeastWork = "least-work"
+	// PolicyTwoChoices takes the better of two by own attempts in flight.
 	PolicyTwoChoices = "two-choices"
+	// PolicyTwoReports takes the better of two by load reports on answers.
+	PolicyTwoReports = "two-choices-reports"
+	// PolicyPooledProbes ranks a pool of recent probes.
+	PolicyPooledProbes = "pooled-probes"
+	// PolicyFreeSlot holds calls until a slot is believed free.
+	PolicyFreeSlot = "free-slot"
 )
 
 // Behaviours for non-idempotent requests while the platform is unavailable.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,6 +66,8 @@
 	Hedge bool
 	// Handle is the driver's own.
 	Handle any
+
+	stopped bool
 }
 
 // ResultKind says how an attempt ended.
@@ -89,6 +91,8 @@
 	ServerError bool
 	// Leaving is set when the target said that it shuts down.
 	Leaving bool
+	// Load is the load report on the answer.
+	Load balancer.Report
 	// Answer is the driver's own.
 	Answer any
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -96,6 +96,7 @@
 // next event.
 func (s *Scheduler) Finished(now time.Time, attempt *Attempt, result Result) []Action {
 	s.actions = s.actions[:0]
+	attempt.Target.Ended(now, attempt.sample(result))
 	attempt.Target.InFlight--
 	if result.Leaving {
 		attempt.Target.Leaving = true
@@ -207,6 +208,7 @@
 	s.nextID++
 	attempt := &Attempt{ID: s.nextID, Call: call, Target: target, Started: now, Hedge: hedge}
 	target.InFlight++
+	target.Began(now)
 	call.state.started++
 	call.state.live = append(call.state.live, attempt)
 	call.state.tried = append(call.state.tried, target)
@@ -234,6 +236,7 @@
 	s.unschedule(call)
 	if call.Type.Idempotent {
 		for _, attempt := range call.state.live {
+			attempt.stopped = true
 			s.actions = append(s.actions, Action{Kind: Cancel, Call: call, Attempt: attempt})
 		}
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -285,6 +285,7 @@
 		Kind:        dispatch.Answered,
 		ServerError: response.StatusCode() >= fasthttp.StatusInternalServerError,
 		Leaving:     string(response.Header.Peek(wire.HeaderState)) == wire.StateLeaving,
+		Load:        loadOf(response),
 		Answer:      response,
 	}
 	if string(response.Header.Peek(wire.HeaderNotRun)) == wire.True {
