--- a/bench/policy/fleet.go
+++ b/bench/policy/fleet.go
@@ -171,9 +171,9 @@
 			PlatformDown: config.OutageServe,
 		}},
 	}
-	if r.hedge {
+	if r.hedgeAfter > 0 {
 		s.HedgeShare = hedgeShare
-		s.RequestTypes[0].HedgeAfterMs = int(hedgeAfter.Milliseconds())
+		s.RequestTypes[0].HedgeAfterMs = int(r.hedgeAfter.Milliseconds())
 	}
 	return s
 }
--- a/bench/policy/result.go
+++ b/bench/policy/result.go
@@ -62,8 +62,8 @@
 }
 
 func (r row) label() string {
-	if r.hedge {
-		return r.policy + "+hedge"
+	if r.hedgeAfter > 0 {
+		return fmt.Sprintf("%s+hedge%d", r.policy, r.hedgeAfter.Milliseconds())
 	}
 	return r.policy
 }
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -50,8 +50,8 @@
 // row is one experiment.
 type row struct {
 	policy string
-	// hedge turns hedging on.
-	hedge bool
+	// hedgeAfter is the delay of a hedge; 0 turns hedging off.
+	hedgeAfter time.Duration
 	// load is the share of the capacity.
 	load float64
 	// k is the number of entry VMs that serve a service.
@@ -72,9 +72,10 @@
 func tables(o options) []table {
 	all := []table{
 		{name: "policies", deployment: lumenwalk, rows: policyRows(0.8, 3)},
+		{name: "trial", deployment: lumenwalk, rows: trialRows()},
 	}
 	if !o.full && o.only == "" {
-		return all
+		return all[:1]
 	}
 	all = append(all,
 		table{name: "loads", deployment: lumenwalk, rows: append(policyRows(0.5, 3), policyRows(0.95, 3)...)},
@@ -110,7 +111,7 @@
 		rows = append(rows, row{policy: policy, load: load, k: k, faults: usual})
 	}
 	for _, policy := range []string{config.PolicyLeast, config.PolicyLeastReports, config.PolicyLeastWork} {
-		rows = append(rows, row{policy: policy, hedge: true, load: load, k: k, faults: usual})
+		rows = append(rows, row{policy: policy, hedgeAfter: hedgeAfter, load: load, k: k, faults: usual})
 	}
 	return rows
 }
@@ -119,7 +120,7 @@
 	var rows []row
 	for _, k := range []int{1, 2, 3, 5, 15} {
 		rows = append(rows, row{policy: config.PolicyLeast, load: 0.8, k: k, faults: usual})
-		rows = append(rows, row{policy: config.PolicyLeast, hedge: true, load: 0.8, k: k, faults: usual})
+		rows = append(rows, row{policy: config.PolicyLeast, hedgeAfter: hedgeAfter, load: 0.8, k: k, faults: usual})
 	}
 	return rows
 }
@@ -131,9 +132,20 @@
 	for _, load := range []float64{0.5, 0.8, 0.95} {
 		rows = append(rows,
 			row{policy: config.PolicyRandom, load: load, k: 3, faults: usual},
-			row{policy: config.PolicyLeast, hedge: true, load: load, k: 3, faults: usual},
+			row{policy: config.PolicyLeast, hedgeAfter: hedgeAfter, load: load, k: 3, faults: usual},
 			row{policy: policyOracle, load: load, k: 3, faults: usual},
 		)
 	}
 	return rows
 }
+
+func trialRows() []row {
+	var rows []row
+	rows = append(rows, row{policy: policyOracle, load: 0.8, k: 3, faults: usual})
+	for _, policy := range []string{config.PolicyLeast, config.PolicyLeastWork} {
+		for _, ms := range []int{0, 10, 15, 20, 25, 30} {
+			rows = append(rows, row{policy: policy, hedgeAfter: time.Duration(ms) * time.Millisecond, load: 0.8, k: 3, faults: usual})
+		}
+	}
+	return rows
+}
