Keep probes within the share of the measuring budget

Each daemon probes at the budget divided by the largest number of entry VMs, which is part of the configuration, so the shares sum to no more than the budget in any mix of views. The same number divides the targets' connections.

--- a/internal/balancer/target.go
+++ b/internal/balancer/target.go
@@ -28,6 +28,8 @@
 	InFlight int
 	// Leaving is set once any sign says that the target shuts down.
 	Leaving bool
+	// Probing is set while a probe is under way.
+	Probing bool
 
 	// begun is the sum of the start times of the attempts in flight, in
 	// nanoseconds since origin.
@@ -66,6 +68,16 @@
 	Load Report
 }
 
+// HasConnection reports whether another attempt stays within the daemon's
+// connections; a probe takes one.
+func (t *Target) HasConnection() bool {
+	used := t.InFlight
+	if t.Probing {
+		used++
+	}
+	return t.MaxConnections == 0 || used < t.MaxConnections
+}
+
 // Began notes the start of an attempt.
 func (t *Target) Began(now time.Time) {
 	if t.origin.IsZero() {
@@ -126,6 +138,9 @@
 	return t.usual + (t.others-t.usual)*weight
 }
 
+// Reported returns when the last load report arrived; zero means never.
+func (t *Target) Reported() time.Time { return t.reportAt }
+
 // Load estimates all requests at the target.
 func (t *Target) Load(now time.Time) float64 { return float64(t.InFlight) + t.Others(now) }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,6 +50,13 @@
 	Team string `json:"team" validate:"required,max=64"`
 	// EntrySetSize is the number of entry VMs that callers are told to use.
 	EntrySetSize int `json:"entry_set_size" validate:"min=1,max=17"`
+	// EntryVMLimit is the largest number of entry VMs that can run at once, those
+	// being replaced included. The measuring budget and the targets' connections
+	// are divided by it. 0 means DefaultEntryVMLimit.
+	EntryVMLimit int `json:"entry_vm_limit,omitempty" validate:"min=0,max=10000"`
+	// CallsPerSecond is the expected rate of calls to the service; busy services
+	// get more entry VMs. 0 means unknown.
+	CallsPerSecond float64 `json:"calls_per_second,omitempty" validate:"min=0"`
 	// Policy names the balancing policy that picks a target.
 	Policy string `json:"policy" validate:"required"`
 	// ProbesPerSecond is the measuring budget of the whole system for this
@@ -134,6 +141,17 @@
 	return nil
 }
 
+// DefaultEntryVMLimit is the default of EntryVMLimit.
+const DefaultEntryVMLimit = 24
+
+// EntryVMs returns EntryVMLimit or its default.
+func (s *Service) EntryVMs() int {
+	if s.EntryVMLimit == 0 {
+		return DefaultEntryVMLimit
+	}
+	return s.EntryVMLimit
+}
+
 // Check validates the service, including the rules that span fields. The error
 // is a *strictjson.InvalidError.
 func (s *Service) Check() error {
@@ -142,6 +160,7 @@
 	}
 	invalid := &strictjson.InvalidError{}
 	s.checkTargets(invalid)
+	s.checkConnections(invalid)
 	s.checkRequestTypes(invalid)
 	if len(invalid.Fields) > 0 {
 		return invalid
@@ -162,6 +181,18 @@
 	}
 }
 
+// checkConnections makes sure that every entry VM may hold a connection to each
+// target.
+func (s *Service) checkConnections(invalid *strictjson.InvalidError) {
+	for _, group := range s.Groups {
+		if group.MaxConnections >= s.EntryVMs() {
+			continue
+		}
+		problem := strictjson.Invalid(s.Name+"."+group.Name+".max_connections", "must be at least the number of entry VMs, %d", s.EntryVMs())
+		invalid.Fields = append(invalid.Fields, problem.Fields...)
+	}
+}
+
 func (s *Service) checkRequestTypes(invalid *strictjson.InvalidError) {
 	for _, requestType := range s.RequestTypes {
 		if requestType.Idempotent || requestType.HedgeAfterMs == 0 {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -28,6 +28,7 @@
 	InFlight    int64               `json:"in_flight"`
 	Members     []membership.Member `json:"members"`
 	Targets     []proxy.TargetState `json:"targets"`
+	Measuring   proxy.Measuring     `json:"measuring"`
 }
 
 func (d *Daemon) serveAdmin(ctx *fasthttp.RequestCtx) {
@@ -57,6 +58,7 @@
 		InFlight:    d.callers.InFlight(),
 		Members:     members,
 		Targets:     d.proxy.Targets(),
+		Measuring:   d.proxy.Measuring(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -178,6 +178,7 @@
 	d.membersMu.Lock()
 	defer d.membersMu.Unlock()
 	d.members.Listed(vms)
+	d.proxy.SetEntryVMs(len(d.members.Members()))
 }
 
 // Serve implements callerserver.Handler.
@@ -219,7 +220,7 @@
 	d.membersMu.Lock()
 	members := d.members.Members()
 	d.membersMu.Unlock()
-	chosen := entryset.Choose(service.Name, members, service.EntrySetSize)
+	chosen := entryset.Choose(service.Name, members, entryset.Size(service.EntrySetSize, service.CallsPerSecond))
 	if len(chosen) == 0 {
 		return []string{d.settings.CallerAddress()}
 	}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
+	"github.com/poplarwheel/poplarwheel/internal/entryset"
 )
 
 // Scheduler schedules the calls of one service. It is not safe for concurrent
@@ -54,7 +55,7 @@
 				target = &balancer.Target{Name: configured.Name, Address: configured.Address, Zone: configured.Zone}
 			}
 			target.Slots = group.Slots
-			target.MaxConnections = group.MaxConnections
+			target.MaxConnections = entryset.ConnectionShare(group.MaxConnections, service.EntryVMs())
 			s.byName[target.Name] = target
 			s.targets = append(s.targets, target)
 		}
@@ -219,7 +220,7 @@
 func (s *Scheduler) pick(now time.Time, call *Call) *balancer.Target {
 	s.scratch = s.scratch[:0]
 	for _, target := range s.targets {
-		if !target.Leaving && !call.hasTried(target) {
+		if !target.Leaving && target.HasConnection() && !call.hasTried(target) {
 			s.scratch = append(s.scratch, target)
 		}
 	}
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -16,6 +16,39 @@
 	}
 }
 
+// staleReport is the age of a load report above which a probe is worth its cost
+// to policies that rank by other signs.
+const staleReport = time.Second
+
+// ProbeTarget returns the target that a probe tells most about, or nil: a random
+// one if the policy ranks probes, else the one with the oldest report.
+func (s *Scheduler) ProbeTarget(now time.Time) *balancer.Target {
+	if len(s.targets) == 0 {
+		return nil
+	}
+	target := s.targets[s.rng.IntN(len(s.targets))]
+	if _, ok := s.policy.(balancer.Prober); !ok {
+		target = oldestReport(s.targets)
+		if now.Sub(target.Reported()) < staleReport {
+			return nil
+		}
+	}
+	if target.Probing || target.Leaving {
+		return nil
+	}
+	return target
+}
+
+func oldestReport(targets []*balancer.Target) *balancer.Target {
+	oldest := targets[0]
+	for _, target := range targets[1:] {
+		if !target.Probing && target.Reported().Before(oldest.Reported()) {
+			oldest = target
+		}
+	}
+	return oldest
+}
+
 // Probed passes the answer to a probe to the policy.
 func (s *Scheduler) Probed(now time.Time, target *balancer.Target, probe balancer.Probe) {
 	target.Observe(now, probe.InFlight)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -185,6 +185,7 @@
 	c.shard.event(func(now time.Time) []dispatch.Action {
 		return c.shard.scheduler.Arrive(now, &c.decision)
 	})
+	c.shard.measure()
 }
 
 func (c *call) abandon() {
@@ -273,7 +274,7 @@
 }
 
 // resultOf classifies the end of an attempt.
-func resultOf(response *fasthttp.Response, err error) dispatch.Result {
+func (p *Proxy) resultOf(response *fasthttp.Response, err error) dispatch.Result {
 	var notSent *targetclient.NotSentError
 	if errors.As(err, &notSent) {
 		return dispatch.Result{Kind: dispatch.NotRun}
@@ -285,7 +286,7 @@
 		Kind:        dispatch.Answered,
 		ServerError: response.StatusCode() >= fasthttp.StatusInternalServerError,
 		Leaving:     string(response.Header.Peek(wire.HeaderState)) == wire.StateLeaving,
-		Load:        loadOf(response),
+		Load:        p.loadOf(response),
 		Answer:      response,
 	}
 	if string(response.Header.Peek(wire.HeaderNotRun)) == wire.True {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,17 +16,19 @@
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
+	"github.com/poplarwheel/poplarwheel/internal/probe"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
 // Proxy carries the calls of all services. It is safe for concurrent use.
 type Proxy struct {
-	log      logrus.FieldLogger
-	client   *targetclient.Client
-	table    *idempotency.Table
-	instance string
-	nextCall atomic.Uint64
-	shards   atomic.Pointer[map[string]*shard]
+	log       logrus.FieldLogger
+	client    *targetclient.Client
+	table     *idempotency.Table
+	instance  string
+	nextCall  atomic.Uint64
+	measuring measuring
+	shards    atomic.Pointer[map[string]*shard]
 }
 
 // New returns a proxy without services. Instance makes attempt IDs unique among
@@ -84,6 +86,7 @@
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
 	service   *config.Service
+	budget    probe.Budget
 	timer     *time.Timer
 	wakeAt    time.Time
 }
@@ -182,7 +185,7 @@
 	request := payload.attemptRequest(attempt, time.Now())
 	response, err := s.proxy.client.Do(handle, attempt.Target.Address, payload.attemptDeadline(), request)
 	fasthttp.ReleaseRequest(request)
-	result := resultOf(response, err)
+	result := s.proxy.resultOf(response, err)
 	s.event(func(now time.Time) []dispatch.Action {
 		return s.scheduler.Finished(now, attempt, result)
 	})
