--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
+	"github.com/poplarwheel/poplarwheel/internal/entryset"
 )
 
 // Scheduler schedules the calls of one service. It is not safe for concurrent
@@ -54,7 +55,7 @@
 				target = &balancer.Target{Name: configured.Name, Address: configured.Address, Zone: configured.Zone}
 			}
 			target.Slots = group.Slots
-			target.MaxConnections = group.MaxConnections
+			target.MaxConnections = entryset.ConnectionShare(group.MaxConnections, service.EntryVMs())
 			s.byName[target.Name] = target
 			s.targets = append(s.targets, target)
 		}
@@ -96,6 +97,7 @@
 // next event.
 func (s *Scheduler) Finished(now time.Time, attempt *Attempt, result Result) []Action {
 	s.actions = s.actions[:0]
+	attempt.Target.Ended(now, attempt.sample(result))
 	attempt.Target.InFlight--
 	if result.Leaving {
 		attempt.Target.Leaving = true
@@ -207,6 +209,7 @@
 	s.nextID++
 	attempt := &Attempt{ID: s.nextID, Call: call, Target: target, Started: now, Hedge: hedge}
 	target.InFlight++
+	target.Began(now)
 	call.state.started++
 	call.state.live = append(call.state.live, attempt)
 	call.state.tried = append(call.state.tried, target)
@@ -217,7 +220,7 @@
 func (s *Scheduler) pick(now time.Time, call *Call) *balancer.Target {
 	s.scratch = s.scratch[:0]
 	for _, target := range s.targets {
-		if !target.Leaving && !call.hasTried(target) {
+		if !target.Leaving && target.HasConnection() && !call.hasTried(target) {
 			s.scratch = append(s.scratch, target)
 		}
 	}
@@ -234,6 +237,7 @@
 	s.unschedule(call)
 	if call.Type.Idempotent {
 		for _, attempt := range call.state.live {
+			attempt.stopped = true
 			s.actions = append(s.actions, Action{Kind: Cancel, Call: call, Attempt: attempt})
 		}
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -189,6 +189,7 @@
 	c.shard.event(current, func(now time.Time) []dispatch.Action {
 		return c.shard.scheduler.Arrive(now, &c.decision)
 	})
+	c.shard.measure()
 }
 
 func (c *call) abandon() {
@@ -300,7 +301,7 @@
 }
 
 // resultOf classifies the end of an attempt.
-func resultOf(response *fasthttp.Response, err error) dispatch.Result {
+func (p *Proxy) resultOf(response *fasthttp.Response, err error) dispatch.Result {
 	var notSent *targetclient.NotSentError
 	if errors.As(err, &notSent) {
 		return dispatch.Result{Kind: dispatch.NotRun}
@@ -312,6 +313,7 @@
 		Kind:        dispatch.Answered,
 		ServerError: response.StatusCode() >= fasthttp.StatusInternalServerError,
 		Leaving:     string(response.Header.Peek(wire.HeaderState)) == wire.StateLeaving,
+		Load:        p.loadOf(response),
 		Answer:      response,
 	}
 	if string(response.Header.Peek(wire.HeaderNotRun)) == wire.True {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,23 +17,26 @@
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
+	"github.com/poplarwheel/poplarwheel/internal/probe"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
 // Proxy carries the calls of all services. It is safe for concurrent use.
 type Proxy struct {
-	log      logrus.FieldLogger
-	client   *targetclient.Client
-	table    *idempotency.Table
-	instance string
-	nextCall atomic.Uint64
-	shards   atomic.Pointer[map[string]*shard]
+	log       logrus.FieldLogger
+	client    *targetclient.Client
+	probes    *probe.Client
+	table     *idempotency.Table
+	instance  string
+	nextCall  atomic.Uint64
+	measuring measuring
+	shards    atomic.Pointer[map[string]*shard]
 }
 
 // New returns a proxy without services. Instance makes attempt IDs unique among
 // daemons.
 func New(instance string, table *idempotency.Table, log logrus.FieldLogger) *Proxy {
-	p := &Proxy{log: log, client: targetclient.New(), table: table, instance: instance}
+	p := &Proxy{log: log, client: targetclient.New(), probes: probe.NewClient(), table: table, instance: instance}
 	p.shards.Store(&map[string]*shard{})
 	return p
 }
@@ -89,6 +92,7 @@
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
 	service   *config.Service
+	budget    probe.Budget
 	timer     *time.Timer
 	wakeAt    time.Time
 }
@@ -190,7 +194,7 @@
 	handle := attempt.Handle.(*targetclient.Attempt)
 	s.proxy.client.Start(loop, handle, attempt.Target.Address, payload.attemptDeadline(), request, func(response *fasthttp.Response, err error) {
 		fasthttp.ReleaseRequest(request)
-		result := resultOf(response, err)
+		result := s.proxy.resultOf(response, err)
 		s.event(loop, func(now time.Time) []dispatch.Action {
 			return s.scheduler.Finished(now, attempt, result)
 		})
