Pass an attempt allowance down and mend the ends of calls

Cause: three tries at each of 19 nested levels multiply; and the scheduler had faults at the ends of calls. A call abandoned before its arrival was sent anyway. A call whose first attempt answered with a failure and whose retry or hedge was not run was refused as not run. A retry without a target took budget. A target that left the configuration and came back lost its count in flight. A quiet service could not retry its first failure. A service whose new configuration could not be applied vanished. Answers that end with their connection passed for whole; HEAD waited for a body; the opening of a connection ignored the deadline and cancellation; connections to a target had no limit. Ruled out: retries at the top only (each repeats all levels); an allowance without a report back (every level adds its own). Change: half of the allowance goes down with an attempt, unspent parts come back; one count of attempts that may have run decides what the caller is told; targetclient reads only answers with a length, dials within the deadline and keeps a limit of connections. Seen to fail on the parent commit: 7 of the new scheduler tests (one of them, TestRetriesStayWithinTheirShare, for the type of a constant in the test too).

--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "github.com/poplarwheel/poplarwheel/internal/invariant"
+
 const (
 	// budgetCap bounds the attempts that a quiet period saves up.
 	budgetCap = 10.0
@@ -7,20 +9,44 @@
 
 // shareBudget allows extra attempts for a share of calls.
 type shareBudget struct {
-	share  float64
-	credit float64
+	share   float64
+	credit  float64
+	granted float64
+	spent   uint64
+}
+
+// newShareBudget returns a budget that starts with the given credit.
+func newShareBudget(credit float64) shareBudget {
+	return shareBudget{credit: credit, granted: credit}
+}
+
+// setShare changes the share of calls. A share of 0 takes the credit away.
+func (b *shareBudget) setShare(share float64) {
+	b.share = share
 }
 
 // earn credits the budget for one call.
 func (b *shareBudget) earn() {
+	b.granted += b.share
 	b.credit = min(b.credit+b.share, budgetCap)
 }
 
+// available reports whether spend would succeed.
+func (b *shareBudget) available() bool {
+	return b.share > 0 && b.credit >= 1
+}
+
 // spend takes one attempt from the budget.
 func (b *shareBudget) spend() bool {
-	if b.credit < 1 {
+	if !b.available() {
 		return false
 	}
 	b.credit--
+	b.spent++
+	invariant.Check(float64(b.spent) <= b.granted+creditError, invariant.RetryBudget,
+		"%d extra attempts, %.2f granted", b.spent, b.granted)
 	return true
 }
+
+// creditError is the rounding error that sums of credit may carry.
+const creditError = 0.001
--- /dev/null
+++ b/internal/dispatch/call.go
@@ -0,0 +1,61 @@
+package dispatch
+
+import "github.com/poplarwheel/poplarwheel/internal/balancer"
+
+// limit is the number of attempts that the call may make here.
+func (c *Call) limit() int { return min(c.Attempts, c.Type.MaxAttempts) }
+
+// mayHaveRun reports whether an attempt is live, or ended without the target's
+// word that it has not run.
+func (c *Call) mayHaveRun() bool { return c.state.dispatched > 0 }
+
+// mayStart reports whether the call's own limits allow another attempt.
+func (c *Call) mayStart() bool {
+	return c.state.started < c.limit() && c.state.allowance.spare >= c.nextCost()
+}
+
+// nextCost is what the next attempt takes from the allowance. The first attempt
+// that may run is free.
+func (c *Call) nextCost() int {
+	if c.mayHaveRun() {
+		return 1
+	}
+	return 0
+}
+
+// payFor takes the cost of an attempt from the allowance.
+func (c *Call) payFor(attempt *Attempt) {
+	attempt.cost = c.nextCost()
+	attempt.handed = c.state.allowance.take(attempt.cost)
+	c.state.dispatched++
+}
+
+// settleAllowance gives back what an ended attempt has not spent.
+func (c *Call) settleAllowance(attempt *Attempt, result Result) {
+	switch {
+	case result.Kind == NotRun:
+		c.state.dispatched--
+		c.state.allowance.giveBack(attempt.cost + attempt.handed)
+	case result.Kind == Answered && result.SpentKnown:
+		spent := min(max(result.SpentBelow, 0), attempt.handed)
+		c.state.allowance.giveBack(attempt.handed - spent)
+	}
+}
+
+func (c *Call) hasTried(target *balancer.Target) bool {
+	for _, tried := range c.state.tried {
+		if tried == target {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Call) removeAttempt(attempt *Attempt) {
+	for i, live := range c.state.live {
+		if live == attempt {
+			c.state.live = append(c.state.live[:i], c.state.live[i+1:]...)
+			return
+		}
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,8 +34,8 @@
 	Type *config.RequestType
 	// Deadline is when the answer stops counting.
 	Deadline time.Time
-	// Attempts is the number of attempts that the call may spend, the first
-	// included.
+	// Attempts is the number of attempts that the call and the calls below it may
+	// spend, the first included. The request type's MaxAttempts bounds it.
 	Attempts int
 	// Payload is the driver's own.
 	Payload any
@@ -44,16 +44,20 @@
 }
 
 type callState struct {
-	arrived   time.Time
-	started   int
-	sent      bool
+	arrived time.Time
+	// started counts attempts.
+	started int
+	// dispatched counts attempts that are live or may have run.
+	dispatched int
+	// allowance holds the further attempts for the call and the calls below it.
+	allowance allowance
 	done      bool
 	live      []*Attempt
 	tried     []*balancer.Target
-	hedgeAt   time.Time
-	heapIndex int
-	wakeAt    time.Time
-	queued    bool
+	// failure is the latest answer that reports a failure of a target.
+	failure any
+	hedgeAt time.Time
+	timer   timer
 }
 
 // Attempt is one try of a call at a target.
@@ -66,8 +70,16 @@
 	Hedge bool
 	// Handle is the driver's own.
 	Handle any
+
+	cost     int
+	handed   int
+	canceled bool
 }
 
+// Allowance is the number of attempts that each call below this attempt may
+// spend, the first included.
+func (a *Attempt) Allowance() int { return 1 + a.handed }
+
 // ResultKind says how an attempt ended.
 type ResultKind int
 
@@ -89,6 +101,11 @@
 	ServerError bool
 	// Leaving is set when the target said that it shuts down.
 	Leaving bool
+	// SpentBelow is the number of further attempts that the target reports for the
+	// calls below. Nothing is given back without a report.
+	SpentBelow int
+	// SpentKnown is set when the target reported SpentBelow.
+	SpentKnown bool
 	// Answer is the driver's own.
 	Answer any
 }
@@ -119,4 +136,7 @@
 	Attempt *Attempt
 	Answer  any
 	Reason  Reason
+	// Spent is the number of further attempts that the call and the calls below it
+	// have spent. What an attempt has not reported back counts as spent.
+	Spent int
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -1,12 +1,12 @@
 package dispatch
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
+	"github.com/poplarwheel/poplarwheel/internal/invariant"
 )
 
 // Scheduler schedules the calls of one service. It is not safe for concurrent
@@ -14,9 +14,8 @@
 type Scheduler struct {
 	rng     *rand.Rand
 	policy  balancer.Policy
-	targets []*balancer.Target
-	byName  map[string]*balancer.Target
-	wakes   wakeHeap
+	targets targetSet
+	timers  timers
 	retries shareBudget
 	hedges  shareBudget
 	nextID  uint64
@@ -26,7 +25,13 @@
 
 // NewScheduler returns a scheduler without targets.
 func NewScheduler(rng *rand.Rand) *Scheduler {
-	return &Scheduler{rng: rng, policy: balancer.LeastInFlight{}, byName: map[string]*balancer.Target{}}
+	return &Scheduler{
+		rng:     rng,
+		policy:  balancer.LeastInFlight{},
+		targets: newTargetSet(),
+		retries: newShareBudget(budgetCap),
+		hedges:  newShareBudget(0),
+	}
 }
 
 // Configure applies the rules and targets of a service. What is known of
@@ -37,55 +42,44 @@
 		return err
 	}
 	s.policy = policy
-	s.retries.share = service.RetryShare
-	s.hedges.share = service.HedgeShare
-	s.setTargets(service)
+	s.retries.setShare(service.RetryShare)
+	s.hedges.setShare(service.HedgeShare)
+	s.targets.configure(service)
 	return nil
 }
 
-func (s *Scheduler) setTargets(service *config.Service) {
-	previous := s.byName
-	s.byName = map[string]*balancer.Target{}
-	s.targets = nil
-	for _, group := range service.Groups {
-		for _, configured := range group.Targets {
-			target := previous[configured.Name]
-			if target == nil || target.Address != configured.Address {
-				target = &balancer.Target{Name: configured.Name, Address: configured.Address, Zone: configured.Zone}
-			}
-			target.Slots = group.Slots
-			target.MaxConnections = group.MaxConnections
-			s.byName[target.Name] = target
-			s.targets = append(s.targets, target)
-		}
-	}
-}
-
 // Targets returns the targets for inspection.
-func (s *Scheduler) Targets() []*balancer.Target { return s.targets }
+func (s *Scheduler) Targets() []*balancer.Target { return s.targets.all }
 
 // SetLeaving marks a target as leaving or back.
 func (s *Scheduler) SetLeaving(name string, leaving bool) {
-	if target := s.byName[name]; target != nil {
+	if target := s.targets.byName[name]; target != nil {
 		target.Leaving = leaving
 	}
 }
 
-// Arrive starts a call. The returned actions are valid until the next event.
+// Arrive starts a call. A call that was abandoned before gets no actions. The
+// returned actions are valid until the next event.
 func (s *Scheduler) Arrive(now time.Time, call *Call) []Action {
 	s.actions = s.actions[:0]
+	if call.state.done {
+		return s.actions
+	}
 	call.state.arrived = now
+	call.state.allowance = newAllowance(max(call.limit()-1, 0))
 	s.retries.earn()
 	s.hedges.earn()
 	if !call.Deadline.After(now) {
-		s.finish(call, Refuse, nil, ReasonDeadline)
+		s.giveUp(call, ReasonDeadline)
 		return s.actions
 	}
-	if !s.start(now, call, false) {
-		s.finish(call, Refuse, nil, ReasonNoTarget)
+	target := s.pick(now, call)
+	if target == nil {
+		s.giveUp(call, ReasonNoTarget)
 		return s.actions
 	}
-	if after := call.Type.HedgeAfter(); after > 0 {
+	s.start(now, call, target, false)
+	if after := call.Type.HedgeAfter(); after > 0 && call.Type.Idempotent {
 		call.state.hedgeAt = now.Add(after)
 	}
 	s.schedule(call)
@@ -96,24 +90,27 @@
 // next event.
 func (s *Scheduler) Finished(now time.Time, attempt *Attempt, result Result) []Action {
 	s.actions = s.actions[:0]
-	attempt.Target.InFlight--
+	s.targets.release(attempt.Target)
 	if result.Leaving {
 		attempt.Target.Leaving = true
 	}
 	call := attempt.Call
 	call.removeAttempt(attempt)
+	call.settleAllowance(attempt, result)
 	if call.state.done {
 		s.late(call, result)
 		return s.actions
 	}
-	if result.Kind == Lost {
-		call.state.sent = true
+	if result.Kind != Answered {
+		s.afterFailure(now, call)
+		return s.actions
 	}
-	if result.Kind == Answered && !s.shouldReplace(call, result) {
-		s.finish(call, Reply, result.Answer, "")
+	if result.ServerError && call.Type.Idempotent {
+		call.state.failure = result.Answer
+		s.afterFailure(now, call)
 		return s.actions
 	}
-	s.afterFailure(now, call, result)
+	s.finish(call, Reply, result.Answer, "")
 	return s.actions
 }
 
@@ -123,100 +120,106 @@
 	}
 }
 
-// shouldReplace reports whether a failure answer is worth another attempt.
-func (s *Scheduler) shouldReplace(call *Call, result Result) bool {
-	return result.ServerError && call.Type.Idempotent
-}
-
-func (s *Scheduler) afterFailure(now time.Time, call *Call, result Result) {
+// afterFailure goes on after an attempt without a good answer.
+func (s *Scheduler) afterFailure(now time.Time, call *Call) {
 	if len(call.state.live) > 0 {
 		return
 	}
-	if s.mayRetry(now, call) && s.start(now, call, false) {
-		s.schedule(call)
+	if s.retry(now, call) {
 		return
 	}
-	switch {
-	case result.Kind == Answered:
-		s.finish(call, Reply, result.Answer, "")
-	case call.state.sent:
-		s.finish(call, Unknown, nil, ReasonTargetLost)
-	default:
-		s.finish(call, Refuse, nil, ReasonUnavailable)
+	reason := ReasonUnavailable
+	if call.mayHaveRun() {
+		reason = ReasonTargetLost
 	}
+	s.giveUp(call, reason)
 }
 
-func (s *Scheduler) mayRetry(now time.Time, call *Call) bool {
-	if call.state.sent && !call.Type.Idempotent {
+// retry starts another attempt if the rules and budgets allow it.
+func (s *Scheduler) retry(now time.Time, call *Call) bool {
+	if call.mayHaveRun() && !call.Type.Idempotent {
 		return false
 	}
-	if call.state.started >= call.limit() || !call.Deadline.After(now) {
+	if !call.mayStart() || !call.Deadline.After(now) || !s.retries.available() {
 		return false
 	}
-	return s.retries.spend()
+	target := s.pick(now, call)
+	if target == nil {
+		return false
+	}
+	s.retries.spend()
+	s.start(now, call, target, false)
+	s.schedule(call)
+	return true
 }
 
 // Expire handles every deadline and hedge that is due. The returned actions are
 // valid until the next event.
 func (s *Scheduler) Expire(now time.Time) []Action {
 	s.actions = s.actions[:0]
-	for len(s.wakes) > 0 && !s.wakes[0].state.wakeAt.After(now) {
-		call := s.wakes[0]
-		s.wake(now, call)
+	for len(s.timers) > 0 && !s.timers[0].state.timer.at.After(now) {
+		s.wake(now, s.timers[0])
 	}
 	return s.actions
 }
 
 func (s *Scheduler) wake(now time.Time, call *Call) {
 	if !call.Deadline.After(now) {
-		s.finish(call, Unknown, nil, ReasonDeadline)
+		s.giveUp(call, ReasonDeadline)
 		return
 	}
 	call.state.hedgeAt = time.Time{}
-	if call.state.started < call.limit() && s.hedges.spend() {
-		s.start(now, call, true)
-	}
+	s.hedge(now, call)
 	s.schedule(call)
 }
 
-// Abandon ends a call whose caller is gone. Non-idempotent attempts go on, so
-// that their outcome becomes known. The returned actions are valid until the
-// next event.
+// hedge starts an attempt beside the live one if the budgets allow it.
+func (s *Scheduler) hedge(now time.Time, call *Call) {
+	if !call.mayStart() || !s.hedges.available() {
+		return
+	}
+	if target := s.pick(now, call); target != nil {
+		s.hedges.spend()
+		s.start(now, call, target, true)
+	}
+}
+
+// Abandon ends a call whose caller is gone, also before its arrival.
+// Non-idempotent attempts go on, so that their outcome becomes known. The
+// returned actions are valid until the next event.
 func (s *Scheduler) Abandon(_ time.Time, call *Call) []Action {
 	s.actions = s.actions[:0]
-	if call.state.done || !call.Type.Idempotent {
+	if call.state.done || (call.mayHaveRun() && !call.Type.Idempotent) {
 		return s.actions
 	}
-	s.finish(call, Unknown, nil, ReasonCallerGone)
+	s.giveUp(call, ReasonCallerGone)
 	return s.actions
 }
 
 // NextWake returns when Expire has to be called next; zero means never.
 func (s *Scheduler) NextWake() time.Time {
-	if len(s.wakes) == 0 {
+	if len(s.timers) == 0 {
 		return time.Time{}
 	}
-	return s.wakes[0].state.wakeAt
+	return s.timers[0].state.timer.at
 }
 
-func (s *Scheduler) start(now time.Time, call *Call, hedge bool) bool {
-	target := s.pick(now, call)
-	if target == nil {
-		return false
-	}
+func (s *Scheduler) start(now time.Time, call *Call, target *balancer.Target, hedge bool) {
+	invariant.Check(!target.Leaving, invariant.LeavingGetsNothing, "attempt at %s", target.Name)
+	invariant.Check(call.Type.Idempotent || !call.mayHaveRun(), invariant.DispatchedOnce, "call %d", call.ID)
 	s.nextID++
 	attempt := &Attempt{ID: s.nextID, Call: call, Target: target, Started: now, Hedge: hedge}
+	call.payFor(attempt)
 	target.InFlight++
 	call.state.started++
 	call.state.live = append(call.state.live, attempt)
 	call.state.tried = append(call.state.tried, target)
 	s.actions = append(s.actions, Action{Kind: Start, Call: call, Attempt: attempt})
-	return true
 }
 
 func (s *Scheduler) pick(now time.Time, call *Call) *balancer.Target {
 	s.scratch = s.scratch[:0]
-	for _, target := range s.targets {
+	for _, target := range s.targets.all {
 		if !target.Leaving && !call.hasTried(target) {
 			s.scratch = append(s.scratch, target)
 		}
@@ -227,54 +230,44 @@
 	return s.policy.Pick(now, s.rng, s.scratch)
 }
 
+// giveUp ends a call without a good answer.
+func (s *Scheduler) giveUp(call *Call, reason Reason) {
+	switch {
+	case call.state.failure != nil:
+		s.finish(call, Reply, call.state.failure, "")
+	case call.mayHaveRun():
+		s.finish(call, Unknown, nil, reason)
+	default:
+		s.finish(call, Refuse, nil, reason)
+	}
+}
+
 // finish answers the call and cancels its idempotent attempts. Others go on, so
 // that their outcome becomes known.
 func (s *Scheduler) finish(call *Call, kind ActionKind, answer any, reason Reason) {
+	invariant.Check(kind != Refuse || !call.mayHaveRun(), invariant.NotRunIsTrue, "call %d refused for %s", call.ID, reason)
 	call.state.done = true
-	s.unschedule(call)
+	s.timers.stop(call)
 	if call.Type.Idempotent {
 		for _, attempt := range call.state.live {
+			attempt.canceled = true
 			s.actions = append(s.actions, Action{Kind: Cancel, Call: call, Attempt: attempt})
 		}
 	}
-	s.actions = append(s.actions, Action{Kind: kind, Call: call, Answer: answer, Reason: reason})
+	s.actions = append(s.actions, Action{
+		Kind:   kind,
+		Call:   call,
+		Answer: answer,
+		Reason: reason,
+		Spent:  call.state.allowance.spent(),
+	})
 }
 
+// schedule sets the call's timer to its next hedge or its deadline.
 func (s *Scheduler) schedule(call *Call) {
-	call.state.wakeAt = call.Deadline
-	if hedge := call.state.hedgeAt; !hedge.IsZero() && hedge.Before(call.Deadline) {
-		call.state.wakeAt = hedge
-	}
-	if call.state.queued {
-		heap.Fix(&s.wakes, call.state.heapIndex)
-		return
-	}
-	heap.Push(&s.wakes, call)
-}
-
-func (s *Scheduler) unschedule(call *Call) {
-	if call.state.queued {
-		heap.Remove(&s.wakes, call.state.heapIndex)
-	}
-}
-
-// limit is the number of attempts that the call may make here.
-func (c *Call) limit() int { return min(c.Attempts, c.Type.MaxAttempts) }
-
-func (c *Call) hasTried(target *balancer.Target) bool {
-	for _, tried := range c.state.tried {
-		if tried == target {
-			return true
-		}
-	}
-	return false
-}
-
-func (c *Call) removeAttempt(attempt *Attempt) {
-	for i, live := range c.state.live {
-		if live == attempt {
-			c.state.live = append(c.state.live[:i], c.state.live[i+1:]...)
-			return
-		}
+	at := call.Deadline
+	if hedge := call.state.hedgeAt; !hedge.IsZero() && hedge.Before(at) {
+		at = hedge
 	}
+	s.timers.set(call, at)
 }
--- /dev/null
+++ b/internal/dispatch/scheduler_test.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poplarwheel/poplarwheel/internal/config"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func testService(targets int) *config.Service {
+	group := config.TargetGroup{Name: "main", Slots: 3, MaxConnections: 200}
+	for i := range targets {
+		group.Targets = append(group.Targets, config.Target{
+			Name:    fmt.Sprintf("target-%d", i),
+			Address: fmt.Sprintf("127.0.0.%d:80", i+1),
+			Zone:    "a",
+		})
+	}
+	return &config.Service{
+		Name:         "stock",
+		EntrySetSize: 1,
+		Policy:       config.PolicyLeast,
+		RetryShare:   0.1,
+		HedgeShare:   1,
+		Groups:       []config.TargetGroup{group},
+	}
+}
+
+func testScheduler(t *testing.T, service *config.Service) *Scheduler {
+	t.Helper()
+	s := NewScheduler(rand.New(rand.NewPCG(1, 1)))
+	require.NoError(t, s.Configure(service))
+	return s
+}
+
+func read() *config.RequestType {
+	return &config.RequestType{Name: "read", DeadlineMs: 100, Idempotent: true, MaxAttempts: 3}
+}
+
+func booking() *config.RequestType {
+	return &config.RequestType{Name: "book", DeadlineMs: 100, MaxAttempts: 3}
+}
+
+func testCall(id uint64, requestType *config.RequestType) *Call {
+	return &Call{ID: id, Type: requestType, Deadline: start.Add(requestType.Deadline()), Attempts: requestType.MaxAttempts}
+}
+
+// kinds copies what a test looks at, since actions last until the next event.
+func kinds(actions []Action) []ActionKind {
+	var kinds []ActionKind
+	for _, action := range actions {
+		kinds = append(kinds, action.Kind)
+	}
+	return kinds
+}
+
+func only(t *testing.T, actions []Action, kind ActionKind) Action {
+	t.Helper()
+	require.Equal(t, []ActionKind{kind}, kinds(actions))
+	return actions[0]
+}
+
+func TestCallAbandonedBeforeArrivalSendsNothing(t *testing.T) {
+	s := testScheduler(t, testService(3))
+	call := testCall(1, read())
+	require.Len(t, s.Abandon(start, call), 1)
+	require.Empty(t, s.Arrive(start, call))
+	require.Zero(t, s.NextWake())
+}
+
+func TestFailedThenNotRunIsNotReportedAsNotRun(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	call := testCall(1, read())
+	first := only(t, s.Arrive(start, call), Start).Attempt
+	second := only(t, s.Finished(start, first, Result{Kind: Answered, ServerError: true, Answer: "failed"}), Start).Attempt
+	end := only(t, s.Finished(start, second, Result{Kind: NotRun}), Reply)
+	require.Equal(t, "failed", end.Answer)
+}
+
+func TestHedgeNotRunAfterFailureRelaysTheFailure(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	requestType := read()
+	requestType.HedgeAfterMs = 10
+	call := testCall(1, requestType)
+	first := only(t, s.Arrive(start, call), Start).Attempt
+	now := start.Add(10 * time.Millisecond)
+	hedge := only(t, s.Expire(now), Start).Attempt
+	require.True(t, hedge.Hedge)
+	require.Empty(t, s.Finished(now, first, Result{Kind: Answered, ServerError: true, Answer: "failed"}))
+	require.Equal(t, "failed", only(t, s.Finished(now, hedge, Result{Kind: NotRun}), Reply).Answer)
+}
+
+func TestLoserOfAHedgeIsCanceled(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	requestType := read()
+	requestType.HedgeAfterMs = 10
+	call := testCall(1, requestType)
+	first := only(t, s.Arrive(start, call), Start).Attempt
+	now := start.Add(10 * time.Millisecond)
+	hedge := only(t, s.Expire(now), Start).Attempt
+	actions := s.Finished(now, hedge, Result{Kind: Answered, Answer: "fast"})
+	require.Equal(t, []ActionKind{Cancel, Reply}, kinds(actions))
+	require.Same(t, first, actions[0].Attempt)
+	require.Equal(t, []ActionKind{Late}, kinds(s.Finished(now, first, Result{Kind: Answered, Answer: "slow"})))
+}
+
+func TestLostBookingIsNotSentAgain(t *testing.T) {
+	s := testScheduler(t, testService(3))
+	call := testCall(1, booking())
+	attempt := only(t, s.Arrive(start, call), Start).Attempt
+	only(t, s.Finished(start, attempt, Result{Kind: Lost}), Unknown)
+}
+
+func TestBookingNotRunIsSentAgain(t *testing.T) {
+	s := testScheduler(t, testService(3))
+	call := testCall(1, booking())
+	attempt := only(t, s.Arrive(start, call), Start).Attempt
+	attempt = only(t, s.Finished(start, attempt, Result{Kind: NotRun}), Start).Attempt
+	attempt = only(t, s.Finished(start, attempt, Result{Kind: NotRun}), Start).Attempt
+	only(t, s.Finished(start, attempt, Result{Kind: NotRun}), Refuse)
+}
+
+func TestRetryWithoutTargetKeepsTheBudget(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	for id := range uint64(20) {
+		call := testCall(id, read())
+		attempt := only(t, s.Arrive(start, call), Start).Attempt
+		only(t, s.Finished(start, attempt, Result{Kind: NotRun}), Refuse)
+	}
+	require.Zero(t, s.retries.spent)
+	require.InDelta(t, budgetCap, s.retries.credit, 0.01)
+}
+
+func TestRetriesStayWithinTheirShare(t *testing.T) {
+	s := testScheduler(t, testService(3))
+	starts := 0
+	const calls = 1000
+	for id := range uint64(calls) {
+		actions := s.Arrive(start, testCall(id, read()))
+		for len(actions) == 1 && actions[0].Kind == Start {
+			starts++
+			actions = s.Finished(start, actions[0].Attempt, Result{Kind: Answered, ServerError: true, Answer: "failed"})
+		}
+	}
+	require.LessOrEqual(t, starts, calls+calls/10+int(budgetCap))
+	require.Greater(t, starts, calls+calls/20)
+}
+
+func TestTargetThatReturnsKeepsItsAttempts(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	call := testCall(1, read())
+	attempt := only(t, s.Arrive(start, call), Start).Attempt
+	other := testService(1)
+	other.Groups[0].Targets[0] = config.Target{Name: "other", Address: "127.0.0.9:80", Zone: "a"}
+	require.NoError(t, s.Configure(other))
+	require.NoError(t, s.Configure(testService(1)))
+	require.Equal(t, 1, s.Targets()[0].InFlight)
+	only(t, s.Finished(start, attempt, Result{Kind: Answered}), Reply)
+	require.Zero(t, s.Targets()[0].InFlight)
+}
+
+func TestAllowanceIsSpentOnce(t *testing.T) {
+	s := testScheduler(t, testService(5))
+	requestType := read()
+	requestType.MaxAttempts = 5
+	call := testCall(1, requestType)
+	first := only(t, s.Arrive(start, call), Start).Attempt
+	require.Equal(t, 3, first.Allowance())
+	failed := Result{Kind: Answered, ServerError: true, SpentKnown: true, SpentBelow: 1, Answer: "failed"}
+	second := only(t, s.Finished(start, first, failed), Start).Attempt
+	require.Equal(t, 2, second.Allowance())
+	third := only(t, s.Finished(start, second, Result{Kind: Lost}), Start).Attempt
+	require.Equal(t, 1, third.Allowance())
+	end := only(t, s.Finished(start, third, Result{Kind: Lost}), Reply)
+	require.Equal(t, 4, end.Spent)
+}
--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/dispatch"
+	"github.com/poplarwheel/poplarwheel/internal/targetclient"
+	"github.com/poplarwheel/poplarwheel/internal/wire"
+)
+
+// attemptDeadline is when the attempt's connection gives up.
+func (c *call) attemptDeadline() time.Time {
+	if c.decision.Type.Idempotent {
+		return c.decision.Deadline
+	}
+	return c.decision.Deadline.Add(lateAnswerLimit)
+}
+
+// attemptRequest returns the request as sent to the target.
+func (c *call) attemptRequest(attempt *dispatch.Attempt, now time.Time) *fasthttp.Request {
+	request := fasthttp.AcquireRequest()
+	c.request.Header.CopyTo(&request.Header)
+	request.SetBodyRaw(c.request.Body())
+	left := max(c.decision.Deadline.Sub(now).Milliseconds(), 1)
+	request.Header.Del(fasthttp.HeaderConnection)
+	request.Header.Set(wire.HeaderTimeout, strconv.FormatInt(left, 10))
+	request.Header.Set(wire.HeaderAttempts, strconv.Itoa(attempt.Allowance()))
+	request.Header.Set(wire.HeaderAttemptID, c.shard.proxy.instance+"-"+strconv.FormatUint(c.decision.ID, 36)+"-"+strconv.FormatUint(attempt.ID, 36))
+	return request
+}
+
+// resultOf classifies the end of an attempt.
+func resultOf(response *fasthttp.Response, err error) dispatch.Result {
+	var notSent *targetclient.NotSentError
+	if errors.As(err, &notSent) {
+		return dispatch.Result{Kind: dispatch.NotRun}
+	}
+	if err != nil {
+		return dispatch.Result{Kind: dispatch.Lost}
+	}
+	result := dispatch.Result{
+		Kind:        dispatch.Answered,
+		ServerError: response.StatusCode() >= fasthttp.StatusInternalServerError,
+		Leaving:     string(response.Header.Peek(wire.HeaderState)) == wire.StateLeaving,
+		Answer:      response,
+	}
+	if string(response.Header.Peek(wire.HeaderNotRun)) == wire.True {
+		result.Kind = dispatch.NotRun
+	}
+	result.SpentBelow, result.SpentKnown = spentBelow(response)
+	return result
+}
+
+// spentBelow returns the further attempts that the target reports, and whether
+// it reports them.
+func spentBelow(response *fasthttp.Response) (int, bool) {
+	value := response.Header.Peek(wire.HeaderAttemptsSpent)
+	if len(value) == 0 {
+		return 0, false
+	}
+	spent, err := fasthttp.ParseUint(value)
+	return spent, err == nil
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"errors"
 	"strconv"
 	"time"
 
@@ -12,7 +11,6 @@
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
-	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
@@ -215,19 +213,33 @@
 	case dispatch.Reply:
 		response := action.Answer.(*fasthttp.Response)
 		c.recordAnswer(response)
-		response.Header.Set(wire.HeaderOutcome, wire.OutcomeRan)
-		c.exchange.Reply(response)
+		c.relay(response, action.Spent)
 	case dispatch.Late:
 		c.recordAnswer(action.Answer.(*fasthttp.Response))
 	case dispatch.Refuse:
 		c.record(idempotency.Outcome{Status: idempotency.NeverRan})
-		c.reply(fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, string(action.Reason))
+		c.replyEnd(fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, action)
 	case dispatch.Unknown:
 		c.record(idempotency.Outcome{Status: idempotency.Unsure})
-		c.reply(fasthttp.StatusGatewayTimeout, wire.OutcomeUnknown, string(action.Reason))
+		c.replyEnd(fasthttp.StatusGatewayTimeout, wire.OutcomeUnknown, action)
 	}
 }
 
+// relay passes a target's answer on to the caller.
+func (c *call) relay(response *fasthttp.Response, spent int) {
+	response.Header.ResetConnectionClose()
+	response.Header.Set(wire.HeaderOutcome, wire.OutcomeRan)
+	response.Header.Set(wire.HeaderAttemptsSpent, strconv.Itoa(spent))
+	c.exchange.Reply(response)
+}
+
+// replyEnd answers that there is no answer.
+func (c *call) replyEnd(status int, outcome string, action dispatch.Action) {
+	response := callerserver.ErrorResponse(status, wire.ErrorReply{Outcome: outcome, Reason: string(action.Reason)})
+	response.Header.Set(wire.HeaderAttemptsSpent, strconv.Itoa(action.Spent))
+	c.exchange.Reply(response)
+}
+
 func (c *call) recordAnswer(response *fasthttp.Response) {
 	if c.key != nil {
 		c.record(idempotency.Outcome{Status: idempotency.Ran, Answer: answerOf(response)})
@@ -251,44 +263,3 @@
 		Body:        append([]byte(nil), response.Body()...),
 	}
 }
-
-// attemptDeadline is when the attempt's connection gives up.
-func (c *call) attemptDeadline() time.Time {
-	if c.decision.Type.Idempotent {
-		return c.decision.Deadline
-	}
-	return c.decision.Deadline.Add(lateAnswerLimit)
-}
-
-// attemptRequest returns the request as sent to the target.
-func (c *call) attemptRequest(attempt *dispatch.Attempt, now time.Time) *fasthttp.Request {
-	request := fasthttp.AcquireRequest()
-	c.request.Header.CopyTo(&request.Header)
-	request.SetBodyRaw(c.request.Body())
-	left := max(c.decision.Deadline.Sub(now).Milliseconds(), 1)
-	request.Header.Del(fasthttp.HeaderConnection)
-	request.Header.Set(wire.HeaderTimeout, strconv.FormatInt(left, 10))
-	request.Header.Set(wire.HeaderAttemptID, c.shard.proxy.instance+"-"+strconv.FormatUint(c.decision.ID, 36)+"-"+strconv.FormatUint(attempt.ID, 36))
-	return request
-}
-
-// resultOf classifies the end of an attempt.
-func resultOf(response *fasthttp.Response, err error) dispatch.Result {
-	var notSent *targetclient.NotSentError
-	if errors.As(err, &notSent) {
-		return dispatch.Result{Kind: dispatch.NotRun}
-	}
-	if err != nil {
-		return dispatch.Result{Kind: dispatch.Lost}
-	}
-	result := dispatch.Result{
-		Kind:        dispatch.Answered,
-		ServerError: response.StatusCode() >= fasthttp.StatusInternalServerError,
-		Leaving:     string(response.Header.Peek(wire.HeaderState)) == wire.StateLeaving,
-		Answer:      response,
-	}
-	if string(response.Header.Peek(wire.HeaderNotRun)) == wire.True {
-		result.Kind = dispatch.NotRun
-	}
-	return result
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -48,7 +48,9 @@
 		}
 		if err := s.configure(service); err != nil {
 			p.log.WithError(err).WithField("service", name).Error("service not configured")
-			continue
+			if previous[name] == nil {
+				continue
+			}
 		}
 		next[name] = s
 	}
@@ -142,20 +144,23 @@
 func bindHandles(actions []dispatch.Action) {
 	for _, action := range actions {
 		if action.Kind == dispatch.Start {
-			action.Attempt.Handle = &targetclient.Attempt{}
+			target := action.Attempt.Target
+			action.Attempt.Handle = &targetclient.Attempt{
+				Address: targetclient.Address{HostPort: target.Address, MaxConnections: target.MaxConnections},
+			}
 		}
 	}
 }
 
+// resetTimer arms the timer if it would fire too late. One that fires too early
+// is armed again by expire.
 func (s *shard) resetTimer() {
 	wakeAt := s.scheduler.NextWake()
-	if wakeAt.Equal(s.wakeAt) {
+	if wakeAt.IsZero() || (!s.wakeAt.IsZero() && !wakeAt.Before(s.wakeAt)) {
 		return
 	}
 	s.wakeAt = wakeAt
-	if !wakeAt.IsZero() {
-		s.timer.Reset(time.Until(wakeAt))
-	}
+	s.timer.Reset(time.Until(wakeAt))
 }
 
 func (s *shard) expire() {
@@ -180,7 +185,7 @@
 func (s *shard) run(attempt *dispatch.Attempt, handle *targetclient.Attempt) {
 	payload := attempt.Call.Payload.(*call)
 	request := payload.attemptRequest(attempt, time.Now())
-	response, err := s.proxy.client.Do(handle, attempt.Target.Address, payload.attemptDeadline(), request)
+	response, err := s.proxy.client.Do(handle, payload.attemptDeadline(), request)
 	fasthttp.ReleaseRequest(request)
 	result := resultOf(response, err)
 	s.event(func(now time.Time) []dispatch.Action {
--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -1,10 +1,9 @@
 package targetclient
 
 import (
-	"bufio"
+	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -13,86 +12,85 @@
 	dialTimeout = 1 * time.Second
 	// idleLimit is how long an idle connection is kept.
 	idleLimit = 30 * time.Second
-	// bufferBytes is the size of each connection's read and write buffer.
-	bufferBytes = 4096
 )
 
-// connection is one connection to a target.
-type connection struct {
-	net.Conn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	idleAt time.Time
-}
-
-// usable reports whether an idle connection is open and has nothing to read.
-func (c *connection) usable(now time.Time) bool {
-	if now.Sub(c.idleAt) > idleLimit || c.reader.Buffered() > 0 {
-		return false
-	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var probe [1]byte
-		_, _, errno := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = errno == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
-
-// pool keeps idle connections to one address, most recently used last.
+// pool keeps the connections to one address, most recently used last.
 type pool struct {
 	address string
 	mu      sync.Mutex
 	idle    []*connection
+	open    int
 }
 
-func (p *pool) get(now time.Time) (*connection, error) {
+// get returns an idle connection or opens one, unless limit are open.
+func (p *pool) get(ctx context.Context, limit int, now time.Time) (*connection, error) {
 	for {
-		c := p.pop()
+		c, err := p.pop(limit)
+		if err != nil {
+			return nil, err
+		}
 		if c == nil {
-			return p.dial()
+			return p.dial(ctx)
 		}
 		if c.usable(now) {
 			return c, nil
 		}
-		_ = c.Close()
+		p.discard(c)
 	}
 }
 
-func (p *pool) pop() *connection {
+// pop takes an idle connection. It returns nil if one has to be opened, and
+// counts that one as open.
+func (p *pool) pop(limit int) (*connection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	last := len(p.idle) - 1
 	if last < 0 {
-		return nil
+		if limit > 0 && p.open >= limit {
+			return nil, &ConnectionLimitError{Address: p.address, Limit: limit}
+		}
+		p.open++
+		return nil, nil
 	}
 	c := p.idle[last]
+	p.idle[last] = nil
 	p.idle = p.idle[:last]
-	return c
+	return c, nil
 }
 
+// put returns a connection for later use and closes one that was idle too long.
 func (p *pool) put(c *connection, now time.Time) {
 	c.idleAt = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle = append(p.idle, c)
+	if oldest := p.idle[0]; now.Sub(oldest.idleAt) > idleLimit {
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		p.open--
+		_ = oldest.Close()
+	}
+}
+
+// discard closes a connection.
+func (p *pool) discard(c *connection) {
+	_ = c.Close()
+	p.closed()
+}
+
+func (p *pool) closed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open--
 }
 
-func (p *pool) dial() (*connection, error) {
-	conn, err := net.DialTimeout("tcp", p.address, dialTimeout)
+func (p *pool) dial(ctx context.Context) (*connection, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
+		p.closed()
 		return nil, err
 	}
-	return &connection{
-		Conn:   conn,
-		reader: bufio.NewReaderSize(conn, bufferBytes),
-		writer: bufio.NewWriterSize(conn, bufferBytes),
-	}, nil
+	return newConnection(conn), nil
 }
 
 func (p *pool) close() {
@@ -101,5 +99,6 @@
 	for _, c := range p.idle {
 		_ = c.Close()
 	}
+	p.open -= len(p.idle)
 	p.idle = nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,8 +16,9 @@
 	HeaderIdempotencyKey = "Idempotency-Key"
 	// HeaderResend numbers the resends of a request, from 0.
 	HeaderResend = "Poplarwheel-Resend"
-	// HeaderAttempts is the number of further attempts that this call and the
-	// calls below it may spend.
+	// HeaderAttempts is the number of attempts that this call and the calls below
+	// it may spend, the first included. A target passes it on with the calls that
+	// it makes to serve the request.
 	HeaderAttempts = "Poplarwheel-Attempts"
 )
 
@@ -29,6 +30,10 @@
 	HeaderNotRun = "Poplarwheel-Not-Run"
 	// HeaderState is "leaving" on answers of a target that is shutting down.
 	HeaderState = "Poplarwheel-State"
+	// HeaderAttemptsSpent is the number of further attempts that a call and the
+	// calls below it have spent. Entry daemons set it on their answers. A target
+	// returns the sum of the calls that it made, 0 if it made none.
+	HeaderAttemptsSpent = "Poplarwheel-Attempts-Spent"
 	// HeaderInFlight is the number of requests in flight at the target.
 	HeaderInFlight = "Poplarwheel-In-Flight"
 )
