--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -10,6 +10,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +68,9 @@
 	}
 }
 
+// CallerIP returns the IP of the caller.
+func (e *Exchange) CallerIP() string { return e.state.callerIP }
+
 func (e *Exchange) callerGone() {
 	e.mu.Lock()
 	f := e.onGone
@@ -100,6 +104,8 @@
 
 // connState is touched only on the connection's event loop, but for the times.
 type connState struct {
+	// callerIP is set when the connection opens.
+	callerIP string
 	exchange *Exchange
 	// waitingSince is when the current wait for the caller began, in Unix
 	// nanoseconds; 0 while a request is served.
@@ -158,13 +164,21 @@
 
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
-	state := &connState{}
+	state := &connState{callerIP: ipOf(conn.RemoteAddr())}
 	state.waitingSince.Store(time.Now().UnixNano())
 	conn.SetContext(state)
 	s.conns.Store(conn, state)
 	return nil, gnet.None
 }
 
+// ipOf returns the IP of an address without its port.
+func ipOf(address net.Addr) string {
+	if tcp, ok := address.(*net.TCPAddr); ok {
+		return tcp.IP.String()
+	}
+	return address.String()
+}
+
 // OnClose implements gnet.EventHandler.
 func (s *Server) OnClose(conn gnet.Conn, _ error) gnet.Action {
 	s.conns.Delete(conn)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -89,7 +89,8 @@
 	// HedgeAfterMs is the delay before a second attempt, in milliseconds.
 	// 0 turns hedging off.
 	HedgeAfterMs int `json:"hedge_after_ms" validate:"min=0,max=600000"`
-	// QueueMs bounds the wait for a free slot, in milliseconds.
+	// QueueMs bounds the wait for a free slot, in milliseconds. 0 sends calls at
+	// once, also to busy targets.
 	QueueMs int `json:"queue_ms" validate:"min=0,max=600000"`
 	// Recorded requires an at-most-once record on the platform before dispatch.
 	Recorded bool `json:"recorded"`
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,6 +37,8 @@
 	// Attempts is the number of attempts that the call and the calls below it may
 	// spend, the first included. The request type's MaxAttempts bounds it.
 	Attempts int
+	// Caller identifies the caller. Callers that wait take turns.
+	Caller string
 	// Payload is the driver's own.
 	Payload any
 
@@ -58,6 +60,9 @@
 	failure any
 	hedgeAt time.Time
 	timer   timer
+	// waiting is set while the call is in the queue, at queueIndex.
+	waiting    bool
+	queueIndex int
 }
 
 // Attempt is one try of a call at a target.
@@ -71,6 +76,7 @@
 	// Handle is the driver's own.
 	Handle any
 
+	member   *member
 	cost     int
 	handed   int
 	canceled bool
@@ -106,6 +112,9 @@
 	SpentBelow int
 	// SpentKnown is set when the target reported SpentBelow.
 	SpentKnown bool
+	// InFlight is the number of requests in flight that the target reports with
+	// its answer, this one included; 0 means no report.
+	InFlight int
 	// Answer is the driver's own.
 	Answer any
 }
--- /dev/null
+++ b/internal/dispatch/queue_test.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poplarwheel/poplarwheel/internal/config"
+)
+
+const oneTargetLimit = 3 + slotHeadroom
+
+func waitingRead(queueMs int) *config.RequestType {
+	requestType := read()
+	requestType.QueueMs = queueMs
+	return requestType
+}
+
+// fill starts as many calls as the targets have room for.
+func fill(t *testing.T, s *Scheduler, count int) []*Attempt {
+	t.Helper()
+	var attempts []*Attempt
+	for id := range uint64(count) {
+		attempts = append(attempts, only(t, s.Arrive(start, testCall(1000+id, waitingRead(50))), Start).Attempt)
+	}
+	return attempts
+}
+
+func TestCallWaitsForAFreeSlot(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	busy := fill(t, s, 2*oneTargetLimit)
+	call := testCall(1, waitingRead(50))
+	require.Empty(t, s.Arrive(start, call))
+	require.Equal(t, 1, s.Queued())
+	actions := s.Finished(start, busy[0], Result{Kind: Answered})
+	require.Equal(t, []ActionKind{Reply, Start}, kinds(actions))
+	require.Same(t, call, actions[1].Call)
+	require.Zero(t, s.Queued())
+}
+
+func TestWaitingCallIsRefusedInTime(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	fill(t, s, oneTargetLimit)
+	call := testCall(1, waitingRead(50))
+	require.Empty(t, s.Arrive(start, call))
+	require.Empty(t, s.Expire(start.Add(49*time.Millisecond)))
+	end := only(t, s.Expire(start.Add(50*time.Millisecond)), Refuse)
+	require.Equal(t, ReasonOverload, end.Reason)
+}
+
+func TestCallThatCannotBeAnsweredInTimeIsRefusedAtOnce(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	busy := fill(t, s, oneTargetLimit)
+	s.Finished(start.Add(20*time.Millisecond), busy[0], Result{Kind: Answered})
+	require.Equal(t, 20*time.Millisecond, s.service.mean)
+	now := start.Add(20 * time.Millisecond)
+	waiting := 0
+	for id := range uint64(100) {
+		call := testCall(id, waitingRead(50))
+		call.Deadline = now.Add(100 * time.Millisecond)
+		actions := s.Arrive(now, call)
+		if len(actions) == 0 {
+			waiting++
+			continue
+		}
+		if actions[0].Kind == Refuse {
+			require.Equal(t, ReasonOverload, actions[0].Reason)
+		}
+	}
+	const inQueueTime = 50 / (20 / oneTargetLimit)
+	require.InDelta(t, inQueueTime, waiting, 2)
+}
+
+func TestEarliestDeadlineGoesFirst(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	busy := fill(t, s, oneTargetLimit)
+	relaxed := testCall(1, waitingRead(50))
+	urgent := testCall(2, waitingRead(50))
+	urgent.Deadline = relaxed.Deadline.Add(-10 * time.Millisecond)
+	require.Empty(t, s.Arrive(start, relaxed))
+	require.Empty(t, s.Arrive(start, urgent))
+	actions := s.Finished(start, busy[0], Result{Kind: Answered})
+	require.Same(t, urgent, actions[1].Call)
+}
+
+func TestCallersTakeTurns(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	busy := fill(t, s, oneTargetLimit)
+	for id := range uint64(40) {
+		call := testCall(id, waitingRead(50))
+		call.Caller = "heavy"
+		require.Empty(t, s.Arrive(start, call))
+	}
+	for id := range uint64(2) {
+		call := testCall(100+id, waitingRead(50))
+		call.Caller = "light"
+		require.Empty(t, s.Arrive(start, call))
+	}
+	served := map[string]int{}
+	for range 4 {
+		actions := s.Finished(start, busy[0], Result{Kind: Answered})
+		started := actions[len(actions)-1]
+		require.Equal(t, Start, started.Kind)
+		served[started.Call.Caller]++
+		busy = append(busy[1:], started.Attempt)
+	}
+	require.Equal(t, map[string]int{"heavy": 2, "light": 2}, served)
+}
+
+func TestWaitingCallsAreRefusedOnceNoTargetIsLeft(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	fill(t, s, oneTargetLimit)
+	require.Empty(t, s.Arrive(start, testCall(1, waitingRead(50))))
+	s.SetLeaving("target-0", true)
+	require.Equal(t, ReasonNoTarget, only(t, s.Expire(start), Refuse).Reason)
+}
+
+func TestWaitingBookingOfACallerThatLeftIsNotRun(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	busy := fill(t, s, oneTargetLimit)
+	requestType := booking()
+	requestType.QueueMs = 50
+	call := testCall(1, requestType)
+	require.Empty(t, s.Arrive(start, call))
+	only(t, s.Abandon(start, call), Refuse)
+	require.Equal(t, []ActionKind{Reply}, kinds(s.Finished(start, busy[0], Result{Kind: Answered})))
+}
+
+func TestOtherDaemonsAttemptsTakeSlots(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	busy := fill(t, s, oneTargetLimit)
+	waiting := testCall(1, waitingRead(50))
+	require.Empty(t, s.Arrive(start, waiting))
+	for i, attempt := range busy[:3] {
+		full := Result{Kind: Answered, InFlight: 20}
+		require.Equal(t, []ActionKind{Reply}, kinds(s.Finished(start, attempt, full)), "answer %d", i)
+	}
+	require.Equal(t, []ActionKind{Reply, Start}, kinds(s.Finished(start, busy[3], Result{Kind: Answered, InFlight: 20})))
+}
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -15,12 +15,14 @@
 	rng     *rand.Rand
 	policy  balancer.Policy
 	targets targetSet
+	queue   fairQueue
+	service serviceTime
 	timers  timers
 	retries shareBudget
 	hedges  shareBudget
 	nextID  uint64
 	actions []Action
-	scratch []*balancer.Target
+	scratch candidates
 }
 
 // NewScheduler returns a scheduler without targets.
@@ -29,13 +31,15 @@
 		rng:     rng,
 		policy:  balancer.LeastInFlight{},
 		targets: newTargetSet(),
+		queue:   newFairQueue(),
 		retries: newShareBudget(budgetCap),
 		hedges:  newShareBudget(0),
 	}
 }
 
 // Configure applies the rules and targets of a service. What is known of
-// targets that stay is kept. The error is a *balancer.UnknownPolicyError.
+// targets that stay is kept. The driver calls Expire afterwards. The error is a
+// *balancer.UnknownPolicyError.
 func (s *Scheduler) Configure(service *config.Service) error {
 	policy, err := balancer.New(service.Policy)
 	if err != nil {
@@ -49,12 +53,16 @@
 }
 
 // Targets returns the targets for inspection.
-func (s *Scheduler) Targets() []*balancer.Target { return s.targets.all }
+func (s *Scheduler) Targets() []*balancer.Target { return s.targets.list }
 
-// SetLeaving marks a target as leaving or back.
+// Queued returns the number of calls that wait for a free slot.
+func (s *Scheduler) Queued() int { return s.queue.length }
+
+// SetLeaving marks a target as leaving or back. The driver calls Expire
+// afterwards.
 func (s *Scheduler) SetLeaving(name string, leaving bool) {
-	if target := s.targets.byName[name]; target != nil {
-		target.Leaving = leaving
+	if m := s.targets.byName[name]; m != nil {
+		m.Leaving = leaving
 	}
 }
 
@@ -73,45 +81,76 @@
 		s.giveUp(call, ReasonDeadline)
 		return s.actions
 	}
-	target := s.pick(now, call)
-	if target == nil {
+	s.drain(now)
+	s.admit(now, call)
+	return s.actions
+}
+
+// admit starts a new call, queues it or refuses it.
+func (s *Scheduler) admit(now time.Time, call *Call) {
+	if !call.mayWait() || s.queue.length == 0 {
+		if m := s.pick(now, call, call.mayWait()); m != nil {
+			s.begin(now, call, m)
+			return
+		}
+	}
+	if !call.mayWait() || !s.targets.anyLive() {
 		s.giveUp(call, ReasonNoTarget)
-		return s.actions
+		return
 	}
-	s.start(now, call, target, false)
+	s.enqueue(now, call)
+}
+
+// begin starts the first attempt of a call.
+func (s *Scheduler) begin(now time.Time, call *Call, m *member) {
+	s.start(now, call, m, false)
 	if after := call.Type.HedgeAfter(); after > 0 && call.Type.Idempotent {
 		call.state.hedgeAt = now.Add(after)
 	}
 	s.schedule(call)
-	return s.actions
 }
 
 // Finished takes the end of an attempt. The returned actions are valid until the
 // next event.
 func (s *Scheduler) Finished(now time.Time, attempt *Attempt, result Result) []Action {
 	s.actions = s.actions[:0]
-	s.targets.release(attempt.Target)
-	if result.Leaving {
-		attempt.Target.Leaving = true
-	}
+	s.learn(now, attempt, result)
+	s.targets.release(attempt.member)
 	call := attempt.Call
 	call.removeAttempt(attempt)
 	call.settleAllowance(attempt, result)
+	s.conclude(now, call, result)
+	s.drain(now)
+	return s.actions
+}
+
+// learn takes over what an attempt tells of its target.
+func (s *Scheduler) learn(now time.Time, attempt *Attempt, result Result) {
+	if result.Leaving {
+		attempt.Target.Leaving = true
+	}
+	attempt.member.reported(now, result.InFlight)
+	if result.Kind == Answered && !result.ServerError {
+		s.service.observe(now.Sub(attempt.Started))
+	}
+}
+
+// conclude goes on with a call after the end of an attempt.
+func (s *Scheduler) conclude(now time.Time, call *Call, result Result) {
 	if call.state.done {
 		s.late(call, result)
-		return s.actions
+		return
 	}
 	if result.Kind != Answered {
 		s.afterFailure(now, call)
-		return s.actions
+		return
 	}
 	if result.ServerError && call.Type.Idempotent {
 		call.state.failure = result.Answer
 		s.afterFailure(now, call)
-		return s.actions
+		return
 	}
 	s.finish(call, Reply, result.Answer, "")
-	return s.actions
 }
 
 func (s *Scheduler) late(call *Call, result Result) {
@@ -135,7 +174,8 @@
 	s.giveUp(call, reason)
 }
 
-// retry starts another attempt if the rules and budgets allow it.
+// retry starts another attempt if the rules and budgets allow it. Retries don't
+// wait for a free slot: their budget bounds them.
 func (s *Scheduler) retry(now time.Time, call *Call) bool {
 	if call.mayHaveRun() && !call.Type.Idempotent {
 		return false
@@ -143,27 +183,35 @@
 	if !call.mayStart() || !call.Deadline.After(now) || !s.retries.available() {
 		return false
 	}
-	target := s.pick(now, call)
-	if target == nil {
+	m := s.pick(now, call, true)
+	if m == nil {
+		m = s.pick(now, call, false)
+	}
+	if m == nil {
 		return false
 	}
 	s.retries.spend()
-	s.start(now, call, target, false)
+	s.start(now, call, m, false)
 	s.schedule(call)
 	return true
 }
 
-// Expire handles every deadline and hedge that is due. The returned actions are
-// valid until the next event.
+// Expire handles every deadline and hedge that is due and starts the calls that
+// can stop waiting. The returned actions are valid until the next event.
 func (s *Scheduler) Expire(now time.Time) []Action {
 	s.actions = s.actions[:0]
 	for len(s.timers) > 0 && !s.timers[0].state.timer.at.After(now) {
 		s.wake(now, s.timers[0])
 	}
+	s.drain(now)
 	return s.actions
 }
 
 func (s *Scheduler) wake(now time.Time, call *Call) {
+	if call.state.waiting {
+		s.giveUp(call, ReasonOverload)
+		return
+	}
 	if !call.Deadline.After(now) {
 		s.giveUp(call, ReasonDeadline)
 		return
@@ -173,14 +221,15 @@
 	s.schedule(call)
 }
 
-// hedge starts an attempt beside the live one if the budgets allow it.
+// hedge starts an attempt beside the live one if the budgets allow it. A call
+// that could have waited is hedged only at a target with a free slot.
 func (s *Scheduler) hedge(now time.Time, call *Call) {
 	if !call.mayStart() || !s.hedges.available() {
 		return
 	}
-	if target := s.pick(now, call); target != nil {
+	if m := s.pick(now, call, call.mayWait()); m != nil {
 		s.hedges.spend()
-		s.start(now, call, target, true)
+		s.start(now, call, m, true)
 	}
 }
 
@@ -204,32 +253,19 @@
 	return s.timers[0].state.timer.at
 }
 
-func (s *Scheduler) start(now time.Time, call *Call, target *balancer.Target, hedge bool) {
-	invariant.Check(!target.Leaving, invariant.LeavingGetsNothing, "attempt at %s", target.Name)
+func (s *Scheduler) start(now time.Time, call *Call, m *member, hedge bool) {
+	invariant.Check(!m.Leaving, invariant.LeavingGetsNothing, "attempt at %s", m.Name)
 	invariant.Check(call.Type.Idempotent || !call.mayHaveRun(), invariant.DispatchedOnce, "call %d", call.ID)
 	s.nextID++
-	attempt := &Attempt{ID: s.nextID, Call: call, Target: target, Started: now, Hedge: hedge}
+	attempt := &Attempt{ID: s.nextID, Call: call, Target: m.Target, Started: now, Hedge: hedge, member: m}
 	call.payFor(attempt)
-	target.InFlight++
+	m.InFlight++
 	call.state.started++
 	call.state.live = append(call.state.live, attempt)
-	call.state.tried = append(call.state.tried, target)
+	call.state.tried = append(call.state.tried, m.Target)
 	s.actions = append(s.actions, Action{Kind: Start, Call: call, Attempt: attempt})
 }
 
-func (s *Scheduler) pick(now time.Time, call *Call) *balancer.Target {
-	s.scratch = s.scratch[:0]
-	for _, target := range s.targets.all {
-		if !target.Leaving && !call.hasTried(target) {
-			s.scratch = append(s.scratch, target)
-		}
-	}
-	if len(s.scratch) == 0 {
-		return nil
-	}
-	return s.policy.Pick(now, s.rng, s.scratch)
-}
-
 // giveUp ends a call without a good answer.
 func (s *Scheduler) giveUp(call *Call, reason Reason) {
 	switch {
@@ -248,6 +284,9 @@
 	invariant.Check(kind != Refuse || !call.mayHaveRun(), invariant.NotRunIsTrue, "call %d refused for %s", call.ID, reason)
 	call.state.done = true
 	s.timers.stop(call)
+	if call.state.waiting {
+		s.queue.remove(call)
+	}
 	if call.Type.Idempotent {
 		for _, attempt := range call.state.live {
 			attempt.canceled = true
--- a/internal/dispatch/targets.go
+++ b/internal/dispatch/targets.go
@@ -12,28 +12,30 @@
 // targetSet holds the targets of a service, and those taken out of the
 // configuration that have attempts in flight.
 type targetSet struct {
-	all     []*balancer.Target
-	byName  map[string]*balancer.Target
-	retired map[targetKey]*balancer.Target
+	members []*member
+	list    []*balancer.Target
+	byName  map[string]*member
+	retired map[targetKey]*member
 }
 
 func newTargetSet() targetSet {
-	return targetSet{byName: map[string]*balancer.Target{}, retired: map[targetKey]*balancer.Target{}}
+	return targetSet{byName: map[string]*member{}, retired: map[targetKey]*member{}}
 }
 
 // configure takes over the targets of a service. What is known of targets that
 // stay is kept, also of those that come back while attempts are in flight.
 func (t *targetSet) configure(service *config.Service) {
-	for _, target := range t.all {
-		t.retired[keyOf(target)] = target
+	for _, m := range t.members {
+		t.retired[m.key()] = m
 	}
-	t.all = nil
-	t.byName = map[string]*balancer.Target{}
+	t.members = nil
+	t.list = nil
+	t.byName = map[string]*member{}
 	for i := range service.Groups {
 		t.addGroup(service, &service.Groups[i])
 	}
-	for key, target := range t.retired {
-		if target.InFlight == 0 {
+	for key, m := range t.retired {
+		if m.InFlight == 0 {
 			delete(t.retired, key)
 		}
 	}
@@ -42,29 +44,28 @@
 func (t *targetSet) addGroup(service *config.Service, group *config.TargetGroup) {
 	for _, configured := range group.Targets {
 		key := targetKey{name: configured.Name, address: configured.Address}
-		target := t.retired[key]
-		if target == nil {
-			target = &balancer.Target{Name: configured.Name, Address: configured.Address}
+		m := t.retired[key]
+		if m == nil {
+			m = &member{Target: &balancer.Target{Name: configured.Name, Address: configured.Address}}
 		}
 		delete(t.retired, key)
-		target.Zone = configured.Zone
-		target.Slots = group.Slots
-		target.MaxConnections = max(group.MaxConnections/max(service.EntrySetSize, 1), 1)
-		t.byName[target.Name] = target
-		t.all = append(t.all, target)
+		m.Zone = configured.Zone
+		m.Slots = group.Slots
+		m.MaxConnections = max(group.MaxConnections/max(service.EntrySetSize, 1), 1)
+		t.byName[m.Name] = m
+		t.members = append(t.members, m)
+		t.list = append(t.list, m.Target)
 	}
 }
 
 // release counts the end of an attempt.
-func (t *targetSet) release(target *balancer.Target) {
-	target.InFlight--
-	invariant.Check(target.InFlight >= 0, invariant.InFlightBalanced, "%d at %s", target.InFlight, target.Name)
-	key := keyOf(target)
-	if target.InFlight == 0 && t.retired[key] == target {
+func (t *targetSet) release(m *member) {
+	m.InFlight--
+	invariant.Check(m.InFlight >= 0, invariant.InFlightBalanced, "%d at %s", m.InFlight, m.Name)
+	key := m.key()
+	if m.InFlight == 0 && t.retired[key] == m {
 		delete(t.retired, key)
 	}
 }
 
-func keyOf(target *balancer.Target) targetKey {
-	return targetKey{name: target.Name, address: target.Address}
-}
+func (m *member) key() targetKey { return targetKey{name: m.Name, address: m.Address} }
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -28,6 +28,8 @@
 	LeavingGetsNothing Name = "leaving_gets_nothing"
 	// RetryBudget: retries and hedges stay within their budgets.
 	RetryBudget Name = "retry_budget"
+	// QueueBounded: the calls that wait for a free slot stay within their bound.
+	QueueBounded Name = "queue_bounded"
 	// InFlightBalanced: counts of attempts in flight never fall below zero.
 	InFlightBalanced Name = "in_flight_balanced"
 )
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -51,6 +51,7 @@
 	if string(response.Header.Peek(wire.HeaderNotRun)) == wire.True {
 		result.Kind = dispatch.NotRun
 	}
+	result.InFlight = inFlight(response)
 	result.SpentBelow, result.SpentKnown = spentBelow(response)
 	return result
 }
@@ -65,3 +66,17 @@
 	spent, err := fasthttp.ParseUint(value)
 	return spent, err == nil
 }
+
+// inFlight returns the requests in flight that the target reports, 0 without a
+// report.
+func inFlight(response *fasthttp.Response) int {
+	value := response.Header.Peek(wire.HeaderInFlight)
+	if len(value) == 0 {
+		return 0
+	}
+	count, err := fasthttp.ParseUint(value)
+	if err != nil {
+		return 0
+	}
+	return count
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -87,6 +87,7 @@
 		Type:     requestType,
 		Deadline: now.Add(timeout),
 		Attempts: attempts,
+		Caller:   exchange.CallerIP(),
 		Payload:  c,
 	}
 	return c, c.parseKey()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,6 +53,7 @@
 			}
 		}
 		next[name] = s
+		s.expire()
 	}
 	p.shards.Store(&next)
 }
