--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +45,7 @@
 // Enrolled is the context of a connection that others have added to the server's
 // event loops. Its methods are called on the connection's loop.
 type Enrolled interface {
-	Opened(conn gnet.Conn)
+	Opened(conn gnet.Conn) gnet.Action
 	Traffic(conn gnet.Conn) gnet.Action
 	Closed(err error)
 }
@@ -75,6 +76,9 @@
 	}
 }
 
+// CallerIP returns the IP of the caller.
+func (e *Exchange) CallerIP() string { return e.state.callerIP }
+
 func (e *Exchange) callerGone() {
 	e.mu.Lock()
 	f := e.onGone
@@ -128,7 +132,9 @@
 
 // connState is touched only on the connection's event loop, but for the times.
 type connState struct {
-	open     bool
+	open bool
+	// callerIP is set when the connection opens.
+	callerIP string
 	exchange *Exchange
 	// waitingSince is when the current wait for the caller began, in Unix
 	// nanoseconds; 0 while a request is served.
@@ -188,16 +194,23 @@
 // OnOpen implements gnet.EventHandler.
 func (s *Server) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
 	if enrolled, ok := conn.Context().(Enrolled); ok {
-		enrolled.Opened(conn)
-		return nil, gnet.None
+		return nil, enrolled.Opened(conn)
 	}
-	state := &connState{open: true}
+	state := &connState{open: true, callerIP: ipOf(conn.RemoteAddr())}
 	state.waitingSince.Store(time.Now().UnixNano())
 	conn.SetContext(state)
 	s.conns.Store(conn, state)
 	return nil, gnet.None
 }
 
+// ipOf returns the IP of an address without its port.
+func ipOf(address net.Addr) string {
+	if tcp, ok := address.(*net.TCPAddr); ok {
+		return tcp.IP.String()
+	}
+	return address.String()
+}
+
 // OnClose implements gnet.EventHandler.
 func (s *Server) OnClose(conn gnet.Conn, err error) gnet.Action {
 	if enrolled, ok := conn.Context().(Enrolled); ok {
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -11,7 +11,7 @@
 	return balancer.Sample{
 		Started:  a.Started,
 		Answered: result.Kind == Answered && !result.ServerError,
-		Canceled: a.stopped && result.Kind == Lost,
+		Canceled: a.canceled && result.Kind == Lost,
 		Load:     result.Load,
 	}
 }
@@ -23,12 +23,12 @@
 // ProbeTarget returns the target that a probe tells most about, or nil: a random
 // one if the policy ranks probes, else the one with the oldest report.
 func (s *Scheduler) ProbeTarget(now time.Time) *balancer.Target {
-	if len(s.targets) == 0 {
+	if len(s.targets.list) == 0 {
 		return nil
 	}
-	target := s.targets[s.rng.IntN(len(s.targets))]
+	target := s.targets.list[s.rng.IntN(len(s.targets.list))]
 	if _, ok := s.policy.(balancer.Prober); !ok {
-		target = oldestReport(s.targets)
+		target = oldestReport(s.targets.list)
 		if now.Sub(target.Reported()) < staleReport {
 			return nil
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -52,9 +52,12 @@
 		}
 		if err := s.configure(service); err != nil {
 			p.log.WithError(err).WithField("service", name).Error("service not configured")
-			continue
+			if previous[name] == nil {
+				continue
+			}
 		}
 		next[name] = s
+		s.expire()
 	}
 	p.shards.Store(&next)
 }
@@ -152,20 +155,23 @@
 func bindHandles(actions []dispatch.Action) {
 	for _, action := range actions {
 		if action.Kind == dispatch.Start {
-			action.Attempt.Handle = &targetclient.Attempt{}
+			target := action.Attempt.Target
+			action.Attempt.Handle = &targetclient.Attempt{
+				Address: targetclient.Address{HostPort: target.Address, MaxConnections: target.MaxConnections},
+			}
 		}
 	}
 }
 
+// resetTimer arms the timer if it would fire too late. One that fires too early
+// is armed again by expire.
 func (s *shard) resetTimer() {
 	wakeAt := s.scheduler.NextWake()
-	if wakeAt.Equal(s.wakeAt) {
+	if wakeAt.IsZero() || (!s.wakeAt.IsZero() && !wakeAt.Before(s.wakeAt)) {
 		return
 	}
 	s.wakeAt = wakeAt
-	if !wakeAt.IsZero() {
-		s.timer.Reset(time.Until(wakeAt))
-	}
+	s.timer.Reset(time.Until(wakeAt))
 }
 
 func (s *shard) expire() {
@@ -192,7 +198,7 @@
 	loop := payload.exchange.Loop()
 	request := payload.attemptRequest(attempt, time.Now())
 	handle := attempt.Handle.(*targetclient.Attempt)
-	s.proxy.client.Start(loop, handle, attempt.Target.Address, payload.attemptDeadline(), request, func(response *fasthttp.Response, err error) {
+	s.proxy.client.Start(loop, handle, payload.attemptDeadline(), request, func(response *fasthttp.Response, err error) {
 		fasthttp.ReleaseRequest(request)
 		result := s.proxy.resultOf(response, err)
 		s.event(loop, func(now time.Time) []dispatch.Action {
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -18,8 +19,6 @@
 )
 
 const (
-	// MaxAnswerBytes bounds an answer, header included.
-	MaxAnswerBytes = 8 << 20
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 1 * time.Second
 	// idleLimit is how long an idle connection is kept.
@@ -34,6 +33,7 @@
 // belongs to the given event loop.
 type Client struct {
 	loops sync.Map // gnet.EventLoop -> *loopPools
+	open  sync.Map // target address -> *atomic.Int64, the open connections
 }
 
 // New returns a client without connections.
@@ -49,8 +49,10 @@
 // pool holds the connections of one event loop to one target.
 type pool struct {
 	address string
-	idle    []*targetConn
-	busy    map[*targetConn]struct{}
+	// open counts the connections of all event loops to the target.
+	open *atomic.Int64
+	idle []*targetConn
+	busy map[*targetConn]struct{}
 }
 
 func (c *Client) poolsOf(loop gnet.EventLoop) *loopPools {
@@ -61,11 +63,13 @@
 	return created.(*loopPools)
 }
 
-func (l *loopPools) pool(address string) *pool {
-	p := l.pools[address]
+func (c *Client) pool(loop gnet.EventLoop, address string) *pool {
+	pools := c.poolsOf(loop).pools
+	p := pools[address]
 	if p == nil {
-		p = &pool{address: address, busy: map[*targetConn]struct{}{}}
-		l.pools[address] = p
+		open, _ := c.open.LoadOrStore(address, &atomic.Int64{})
+		p = &pool{address: address, open: open.(*atomic.Int64), busy: map[*targetConn]struct{}{}}
+		pools[address] = p
 	}
 	return p
 }
@@ -73,15 +77,72 @@
 // Start sends a request and calls done once with the whole answer. The attempt
 // is lost at deadline, give or take a sweep. Start must be called on loop, and
 // keeps request until done is called.
-func (c *Client) Start(loop gnet.EventLoop, attempt *Attempt, address string, deadline time.Time, request *fasthttp.Request, done Done) {
+func (c *Client) Start(loop gnet.EventLoop, attempt *Attempt, deadline time.Time, request *fasthttp.Request, done Done) {
 	e := &exchange{attempt: attempt, request: request, deadline: deadline, done: done}
 	attempt.bind(loop, e)
-	p := c.poolsOf(loop).pool(address)
+	p := c.pool(loop, attempt.Address.HostPort)
 	if conn := p.take(); conn != nil {
 		conn.send(e)
 		return
 	}
-	go dial(loop, p, e)
+	if p.reserve(attempt.Address.MaxConnections) {
+		go dial(loop, p, e)
+		return
+	}
+	go c.replace(loop, p, e)
+}
+
+// replace opens a connection for an exchange in place of an idle one of another
+// event loop.
+func (c *Client) replace(loop gnet.EventLoop, p *pool, e *exchange) {
+	limit := e.attempt.Address.MaxConnections
+	if c.evict(loop, p.address) && p.reserve(limit) {
+		dial(loop, p, e)
+		return
+	}
+	err := &ConnectionLimitError{Address: p.address, Limit: limit}
+	onLoop(loop, func() { e.finish(nil, &NotSentError{Cause: err}) })
+}
+
+// reserve counts one more open connection; false means that limit are open.
+func (p *pool) reserve(limit int) bool {
+	if open := p.open.Add(1); limit > 0 && open > int64(limit) {
+		p.open.Add(-1)
+		return false
+	}
+	return true
+}
+
+// evict closes an idle connection to a target on another event loop; false means
+// that there is none.
+func (c *Client) evict(loop gnet.EventLoop, address string) bool {
+	evicted := false
+	c.loops.Range(func(_, value any) bool {
+		pools := value.(*loopPools)
+		if pools.loop == loop {
+			return true
+		}
+		result := make(chan bool, 1)
+		onLoop(pools.loop, func() { result <- pools.closeIdle(address) })
+		select {
+		case evicted = <-result:
+		case <-time.After(dialTimeout):
+		}
+		return !evicted
+	})
+	return evicted
+}
+
+// closeIdle closes the longest idle connection to a target.
+func (l *loopPools) closeIdle(address string) bool {
+	p := l.pools[address]
+	if p == nil || len(p.idle) == 0 {
+		return false
+	}
+	conn := p.idle[0]
+	p.idle = p.idle[1:]
+	conn.close()
+	return true
 }
 
 // take returns an open idle connection, most recently used first, or nil.
@@ -103,6 +164,7 @@
 func dial(loop gnet.EventLoop, p *pool, e *exchange) {
 	netConn, err := net.DialTimeout("tcp", p.address, dialTimeout)
 	if err != nil {
+		p.open.Add(-1)
 		onLoop(loop, func() { e.finish(nil, &NotSentError{Cause: err}) })
 		return
 	}
@@ -113,6 +175,7 @@
 	}
 	if err != nil {
 		_ = netConn.Close()
+		p.open.Add(-1)
 		onLoop(loop, func() { e.finish(nil, &NotSentError{Cause: err}) })
 	}
 }
@@ -138,7 +201,7 @@
 	for address, p := range l.pools {
 		p.sweepIdle(now)
 		p.sweepBusy(now)
-		if len(p.idle) == 0 && len(p.busy) == 0 {
+		if len(p.idle) == 0 && len(p.busy) == 0 && p.open.Load() == 0 {
 			delete(l.pools, address)
 		}
 	}
--- a/internal/targetclient/conn.go
+++ b/internal/targetclient/conn.go
@@ -1,10 +1,8 @@
 package targetclient
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
-	"io"
 	"syscall"
 	"time"
 
@@ -33,17 +31,15 @@
 }
 
 // Opened takes the connection into use for the exchange that dialed it.
-func (c *targetConn) Opened(conn gnet.Conn) {
+func (c *targetConn) Opened(conn gnet.Conn) gnet.Action {
 	c.conn = conn
-	c.pool.busy[c] = struct{}{}
+	if c.first.attempt.isCanceled() {
+		return gnet.Close
+	}
 	first := c.first
 	c.first = nil
-	if first.attempt.isCanceled() {
-		c.release()
-		first.finish(nil, &NotSentError{Cause: ErrCanceled})
-		return
-	}
 	c.send(first)
+	return gnet.None
 }
 
 // send writes the request.
@@ -153,6 +149,7 @@
 
 // Closed is called when the connection is closed, by whichever side.
 func (c *targetConn) Closed(error) {
+	c.pool.open.Add(-1)
 	delete(c.pool.busy, c)
 	for i, idle := range c.pool.idle {
 		if idle == c {
@@ -160,6 +157,10 @@
 			break
 		}
 	}
+	if e := c.first; e != nil {
+		c.first = nil
+		e.finish(nil, &NotSentError{Cause: ErrCanceled})
+	}
 	if e := c.current; e != nil {
 		c.current = nil
 		e.finish(nil, &LostError{Cause: ErrClosed})
@@ -176,62 +177,3 @@
 	_, _, err := syscall.Recvfrom(c.conn.Fd(), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	return errors.Is(err, syscall.EAGAIN)
 }
-
-var headerEnd = []byte("\r\n\r\n")
-
-// parse reads one answer from the start of buffered. While more bytes are needed
-// it returns a nil response and the least number of bytes for the next try.
-func parse(buffered []byte, head bool) (response *fasthttp.Response, size int, err error) {
-	end := bytes.Index(buffered, headerEnd)
-	if end < 0 {
-		return nil, len(buffered) + 1, nil
-	}
-	headerSize := end + len(headerEnd)
-	response = fasthttp.AcquireResponse()
-	response.SkipBody = head
-	source := bytes.NewReader(buffered)
-	reader := bufio.NewReaderSize(source, max(headerSize, minReadBuffer))
-	if err := response.Header.Read(reader); err != nil {
-		fasthttp.ReleaseResponse(response)
-		return nil, 0, err
-	}
-	length := response.Header.ContentLength()
-	if !head && length >= 0 {
-		return parseSized(response, buffered, headerSize, length)
-	}
-	if !head && length != chunked {
-		fasthttp.ReleaseResponse(response)
-		return nil, 0, ErrNoLength
-	}
-	err = response.ReadBody(reader, MaxAnswerBytes)
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-		fasthttp.ReleaseResponse(response)
-		return nil, len(buffered) + 1, nil
-	}
-	if err != nil {
-		fasthttp.ReleaseResponse(response)
-		return nil, 0, err
-	}
-	return response, len(buffered) - source.Len() - reader.Buffered(), nil
-}
-
-const (
-	// minReadBuffer is the smallest buffer that the codec reads through.
-	minReadBuffer = 512
-	// chunked is fasthttp's content length of a chunked body.
-	chunked = -1
-)
-
-func parseSized(response *fasthttp.Response, buffered []byte, headerSize, length int) (*fasthttp.Response, int, error) {
-	if length > MaxAnswerBytes-headerSize {
-		fasthttp.ReleaseResponse(response)
-		return nil, 0, ErrTooLarge
-	}
-	size := headerSize + length
-	if len(buffered) < size {
-		fasthttp.ReleaseResponse(response)
-		return nil, size, nil
-	}
-	response.SetBody(buffered[headerSize:size])
-	return response, size, nil
-}
--- a/internal/targetclient/errors.go
+++ b/internal/targetclient/errors.go
@@ -15,6 +15,8 @@
 	ErrClosed = errors.New("connection closed")
 	// ErrTooLarge means that the answer is above MaxAnswerBytes.
 	ErrTooLarge = errors.New("answer too large")
+	// ErrInterim means that the answer begins with too many interim responses.
+	ErrInterim = errors.New("too many interim responses")
 	// ErrNoLength means that the answer doesn't tell its length, so that a whole
 	// one can't be told from a part.
 	ErrNoLength = errors.New("answer without a length")
@@ -46,3 +48,15 @@
 func (e *ForeignAnswerError) Error() string {
 	return fmt.Sprintf("answer is for attempt %q, want %q", e.Have, e.Want)
 }
+
+// ConnectionLimitError reports a target with as many open connections as this
+// daemon may have.
+type ConnectionLimitError struct {
+	Address string
+	Limit   int
+}
+
+// Error implements error.
+func (e *ConnectionLimitError) Error() string {
+	return fmt.Sprintf("%d connections to %s are open", e.Limit, e.Address)
+}
--- a/internal/targetclient/exchange.go
+++ b/internal/targetclient/exchange.go
@@ -8,8 +8,19 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Attempt is the handle of one attempt. Its zero value is ready for use.
+// Address is where to send an attempt.
+type Address struct {
+	// HostPort is the target's "ip:port".
+	HostPort string
+	// MaxConnections bounds the open connections to the target; 0 is no bound.
+	MaxConnections int
+}
+
+// Attempt is the handle of one attempt.
 type Attempt struct {
+	// Address is set before the handle is used.
+	Address Address
+
 	mu       sync.Mutex
 	loop     gnet.EventLoop
 	exchange *exchange
