Write the demo's progress under a lock

Cause: go test -race ./internal/demo reported two goroutines writing at once. Change: a mutex around the write. After: the same command passes (one run).

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -51,6 +51,7 @@
 	options     Options
 	deployments []*deployment
 	started     time.Time
+	progressMu  sync.Mutex
 }
 
 // Run runs a demo and returns its summary. The error is a *StartError or a
@@ -122,6 +123,8 @@
 	if !d.started.IsZero() {
 		prefix = fmt.Sprintf("%5.1f s  ", time.Since(d.started).Seconds())
 	}
+	d.progressMu.Lock()
+	defer d.progressMu.Unlock()
 	_, _ = fmt.Fprintf(d.options.Progress, prefix+format+"\n", args...)
 }
 
