Refuse names, policies and rules that can't work before acceptance

Cause: a service named a/b would have reached the platform's keys, an unknown policy was found only by the daemons, a queue could outlast its deadline. Before: none of these was refused.

--- a/internal/cli/configure.go
+++ b/internal/cli/configure.go
@@ -7,6 +7,8 @@
 	"github.com/google/uuid"
 	"github.com/integrii/flaggy"
 
+	"github.com/poplarwheel/poplarwheel/internal/balancer"
+	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
@@ -45,6 +47,9 @@
 	if err := strictjson.Unmarshal(data, proposal); err != nil {
 		return &InputError{Path: c.proposal, Cause: err}
 	}
+	if err := checkPolicies(proposal.Services); err != nil {
+		return &InputError{Path: c.proposal, Cause: err}
+	}
 	revision, err := rollout.Accept(platform.NewClient(c.platform, platformTimeout), rollout.Acceptance{
 		Base:     proposal.Base,
 		Services: proposal.Services,
@@ -59,6 +64,17 @@
 	return writeJSON(streams, acceptReply{Revision: revision})
 }
 
+// checkPolicies refuses policies that this version doesn't have. The error is a
+// *balancer.UnknownPolicyError.
+func checkPolicies(services []*config.Service) error {
+	for _, service := range services {
+		if _, err := balancer.New(service.Policy); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // acceptReply is the output of acceptCommand.
 type acceptReply struct {
 	Revision uint64 `json:"revision"`
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/strictjson"
@@ -33,9 +34,9 @@
 // Service is one service: where it runs and how calls to it are handled.
 type Service struct {
 	// Name identifies the service in calls and on the platform.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// Team owns the service and may change it.
-	Team string `json:"team" validate:"required,max=64"`
+	Team string `json:"team" validate:"required,max=64,identifier"`
 	// EntrySetSize is the number of entry VMs that callers are told to use.
 	EntrySetSize int `json:"entry_set_size" validate:"min=1,max=17"`
 	// Policy names the balancing policy that picks a target.
@@ -56,7 +57,7 @@
 // TargetGroup is a set of interchangeable targets with equal limits.
 type TargetGroup struct {
 	// Name identifies the group within its service.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// Slots is the number of requests that each target runs at once.
 	Slots int `json:"slots" validate:"min=1,max=10000"`
 	// MaxConnections is the number of connections that each target accepts
@@ -69,17 +70,17 @@
 // Target is one server.
 type Target struct {
 	// Name is the target's VM name.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// Address is the target's "ip:port".
 	Address string `json:"address" validate:"required,hostname_port"`
 	// Zone is the target's availability zone.
-	Zone string `json:"zone" validate:"required,max=64"`
+	Zone string `json:"zone" validate:"required,max=64,identifier"`
 }
 
 // RequestType holds the rules of one kind of request.
 type RequestType struct {
 	// Name identifies the type within its service.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// DeadlineMs is the time within which an answer counts, in milliseconds.
 	DeadlineMs int `json:"deadline_ms" validate:"min=1,max=600000"`
 	// Idempotent requests may be retried and hedged.
@@ -151,15 +152,31 @@
 }
 
 func (s *Service) checkRequestTypes(invalid *strictjson.InvalidError) {
-	for _, requestType := range s.RequestTypes {
-		if requestType.Idempotent || requestType.HedgeAfterMs == 0 {
-			continue
+	for i := range s.RequestTypes {
+		requestType := &s.RequestTypes[i]
+		path := s.Name + "." + requestType.Name
+		for _, problem := range requestType.contradictions() {
+			problem.Path = path + "." + problem.Path
+			invalid.Fields = append(invalid.Fields, problem)
 		}
-		problem := strictjson.Invalid(s.Name+"."+requestType.Name+".hedge_after_ms", "must be 0 for a request type that is not idempotent")
-		invalid.Fields = append(invalid.Fields, problem.Fields...)
 	}
 }
 
+// contradictions returns the problems that span fields.
+func (t *RequestType) contradictions() []*strictjson.FieldError {
+	var problems []*strictjson.FieldError
+	if !t.Idempotent && t.HedgeAfterMs != 0 {
+		problems = append(problems, &strictjson.FieldError{Path: "hedge_after_ms", Problem: "must be 0 for a request type that is not idempotent"})
+	}
+	if t.Idempotent && t.Recorded {
+		problems = append(problems, &strictjson.FieldError{Path: "recorded", Problem: "must be false for a request type that is idempotent"})
+	}
+	if t.QueueMs > t.DeadlineMs {
+		problems = append(problems, &strictjson.FieldError{Path: "queue_ms", Problem: fmt.Sprintf("is %d, must be at most the deadline, %d", t.QueueMs, t.DeadlineMs)})
+	}
+	return problems
+}
+
 // Encode returns the canonical JSON of the service.
 func (s *Service) Encode() ([]byte, error) {
 	return json.Marshal(s)
--- a/internal/questionnaire/answers.go
+++ b/internal/questionnaire/answers.go
@@ -31,7 +31,7 @@
 // Answers is a filled-in questionnaire.
 type Answers struct {
 	// Team owns the services.
-	Team string `json:"team" validate:"required,max=64"`
+	Team string `json:"team" validate:"required,max=64,identifier"`
 	// Services are the services to configure.
 	Services []Service `json:"services" validate:"required,min=1,unique=Name,dive"`
 }
@@ -39,7 +39,7 @@
 // Service holds the answers about one service.
 type Service struct {
 	// Name identifies the service in calls.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// Priority is "tail" or "cost".
 	Priority string `json:"priority" validate:"oneof=tail cost"`
 	// TypicalMs is the usual time a server takes for a request, in milliseconds.
@@ -60,19 +60,19 @@
 // Server is one VM that runs a service.
 type Server struct {
 	// Name is the VM's name.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// IP is the VM's address.
 	IP string `json:"ip" validate:"required,ip"`
 	// Port serves requests.
 	Port int `json:"port" validate:"min=1,max=65535"`
 	// Zone is the VM's availability zone.
-	Zone string `json:"zone" validate:"required,max=64"`
+	Zone string `json:"zone" validate:"required,max=64,identifier"`
 }
 
 // Request holds the answers about one kind of request.
 type Request struct {
 	// Name identifies the request type in calls.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// AgreedMs is the time agreed with the caller, in milliseconds.
 	AgreedMs int `json:"agreed_ms" validate:"min=1,max=600000"`
 	// IfLate is the harm of an answer after the agreed time.
--- a/internal/settings/document_test.go
+++ b/internal/settings/document_test.go
@@ -59,7 +59,7 @@
 // allowed describes a validate tag.
 func allowed(tag string) string {
 	words := strings.NewReplacer("required", "", "omitempty", "", "oneof=", "", "min=", "at least ", "max=", "at most ",
-		"hostname_port", "ip:port", ",dive", "").Replace(tag)
+		"hostname_port", "ip:port", "identifier", "letters, digits, dots, hyphens and underscores", ",dive", "").Replace(tag)
 	return strings.ReplaceAll(strings.Trim(words, ","), ",", ", ")
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,13 +12,13 @@
 // Settings are the settings of one entry daemon. They are read once, at start.
 type Settings struct {
 	// Name is the VM's name in the platform's list.
-	Name string `json:"name" validate:"required,max=64"`
+	Name string `json:"name" validate:"required,max=64,identifier"`
 	// IP is the VM's own address.
 	IP string `json:"ip" validate:"required,ip"`
 	// Region is the VM's region.
-	Region string `json:"region" validate:"required,max=64"`
+	Region string `json:"region" validate:"required,max=64,identifier"`
 	// Zone is the VM's availability zone.
-	Zone string `json:"zone" validate:"required,max=64"`
+	Zone string `json:"zone" validate:"required,max=64,identifier"`
 	// CallerPort serves callers. It is the same on all entry VMs. Default 8080.
 	CallerPort int `json:"caller_port" validate:"min=1,max=65535"`
 	// PeerPort serves other entry daemons. It is the same on all entry VMs.
--- a/internal/strictjson/problems.go
+++ b/internal/strictjson/problems.go
@@ -28,6 +28,8 @@
 		return fmt.Sprintf("is %q, must be an IP address", fmt.Sprint(problem.Value()))
 	case "hostname_port":
 		return fmt.Sprintf("is %q, must be ip:port", fmt.Sprint(problem.Value()))
+	case identifierTag:
+		return fmt.Sprintf("is %q, must be letters, digits, dots, hyphens and underscores, with a letter or digit at both ends", fmt.Sprint(problem.Value()))
 	case "unique":
 		return "must not repeat a " + strings.ToLower(problem.Param())
 	}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"regexp"
 	"strings"
 
 	"github.com/go-json-experiment/json"
@@ -58,9 +59,21 @@
 		name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
 		return name
 	})
+	if err := v.RegisterValidation(identifierTag, isIdentifier); err != nil {
+		panic(err)
+	}
 	return v
 }
 
+// identifierTag marks names that appear in paths, headers and metrics.
+const identifierTag = "identifier"
+
+var identifier = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
+
+func isIdentifier(field validator.FieldLevel) bool {
+	return identifier.MatchString(field.Field().String())
+}
+
 // Unmarshal decodes data into value and checks its validate tags. The error is
 // an *InvalidError.
 func Unmarshal(data []byte, value any) error {
--- a/internal/strictjson/strictjson_test.go
+++ b/internal/strictjson/strictjson_test.go
@@ -13,6 +13,7 @@
 	On    bool     `json:"on"`
 	Parts []part   `json:"parts" validate:"max=2,unique=Name,dive"`
 	Limit *float64 `json:"limit,omitempty" validate:"omitempty,min=1"`
+	Zone  string   `json:"zone,omitempty" validate:"omitempty,identifier"`
 }
 
 type part struct {
