--- /dev/null
+++ b/test/docs/docs_test.go
@@ -0,0 +1,121 @@
+// Package docs checks that pages name what the code has.
+package docs
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const root = "../.."
+
+// Reason codes are string constants whose names start with "reason", and the
+// codes of callerserver.ParseError.
+func TestCallersPageNamesEveryReason(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "CALLERS.md"))
+	require.NoError(t, err)
+	reasons := map[string]string{}
+	for _, dir := range []string{"callerserver", "daemon", "dispatch", "proxy", "quarantine", "idempotency", "wire"} {
+		collectReasons(t, filepath.Join(root, "internal", dir), reasons)
+	}
+	require.Contains(t, reasons, "overload")
+	require.Contains(t, reasons, "header_too_large")
+	for reason, where := range reasons {
+		require.Contains(t, string(page), "`"+reason+"`", "reason of %s", where)
+	}
+}
+
+func collectReasons(t *testing.T, dir string, reasons map[string]string) {
+	t.Helper()
+	err := filepath.WalkDir(dir, func(path string, _ fs.DirEntry, err error) error {
+		if os.IsNotExist(err) {
+			return nil
+		}
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(node ast.Node) bool {
+			for _, literal := range reasonLiterals(node) {
+				if reason, err := strconv.Unquote(literal.Value); err == nil && reason != "" {
+					reasons[reason] = path
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	require.NoError(t, err)
+}
+
+// reasonLiterals returns the texts of reason constants and of Reason fields.
+func reasonLiterals(node ast.Node) []*ast.BasicLit {
+	var values []ast.Expr
+	switch node := node.(type) {
+	case *ast.ValueSpec:
+		if strings.HasPrefix(strings.ToLower(node.Names[0].Name), "reason") {
+			values = node.Values
+		}
+	case *ast.KeyValueExpr:
+		if key, ok := node.Key.(*ast.Ident); ok && key.Name == "Reason" {
+			values = []ast.Expr{node.Value}
+		}
+	}
+	var literals []*ast.BasicLit
+	for _, value := range values {
+		if literal, ok := value.(*ast.BasicLit); ok && literal.Kind == token.STRING {
+			literals = append(literals, literal)
+		}
+	}
+	return literals
+}
+
+func TestCommandLinePageNamesEverySubcommand(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "CLI.md"))
+	require.NoError(t, err)
+	files, err := filepath.Glob(filepath.Join(root, "internal", "cli", "*.go"))
+	require.NoError(t, err)
+	names := 0
+	for _, path := range files {
+		source, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for _, part := range strings.Split(string(source), `flaggy.NewSubcommand("`)[1:] {
+			name, _, _ := strings.Cut(part, `"`)
+			require.Contains(t, string(page), name)
+			names++
+		}
+	}
+	require.Greater(t, names, 10)
+}
+
+// Links to files of the project have to lead somewhere.
+func TestLinksResolve(t *testing.T) {
+	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || filepath.Ext(path) != ".md" {
+			return err
+		}
+		page, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for _, part := range strings.Split(string(page), "](")[1:] {
+			link, _, _ := strings.Cut(part, ")")
+			link, _, _ = strings.Cut(link, "#")
+			if link == "" || strings.Contains(link, "://") {
+				continue
+			}
+			require.FileExists(t, filepath.Join(filepath.Dir(path), link), "link in %s", path)
+		}
+		return nil
+	})
+	require.NoError(t, err)
+}
