--- a/internal/entryset/limits.go
+++ b/internal/entryset/limits.go
@@ -4,7 +4,7 @@
 
 // callsPerMember is the rate of calls to one service above which a further entry
 // VM serves it, in calls per second.
-const callsPerMember = 2000.0
+const callsPerMember = 1000.0
 
 // Size returns the number of entry VMs that serve a service: the configured one,
 // or more for a busy service, so that no entry VM carries much more than others.
