--- a/bench/policy/faults.go
+++ b/bench/policy/faults.go
@@ -12,52 +12,111 @@
 	name string
 	// noise is the noisy neighbour of every target.
 	noise targetd.Noise
-	// stragglers makes one random target of each service slow from time to time.
-	stragglers bool
+	// script is played on one random target after another.
+	script []step
+	// always holds for all targets, steps aside.
+	always targetd.Faults
+	// reportLag is the age of load reports.
+	reportLag time.Duration
+	// zoneGone silences all targets of one availability zone from the start.
+	zoneGone bool
+}
+
+// step is one fault and how long it lasts.
+type step struct {
+	faults targetd.Faults
+	length time.Duration
 }
 
 const (
-	// stragglerEvery is the time between the starts of two stragglers.
-	stragglerEvery = time.Second
-	// stragglerFor is how long a straggler is slow.
-	stragglerFor = 500 * time.Millisecond
+	half = 500 * time.Millisecond
 	// stragglerFactor multiplies the service time of a straggler.
 	stragglerFactor = 4.0
+	// coldFactor multiplies the service time of a target that has just started.
+	coldFactor = 5.0
+	// shedAbove is the number of requests in flight above which targets refuse.
+	shedAbove = 6
+	// lag is the age of lagging load reports.
+	lag = 200 * time.Millisecond
 )
 
-// usual is what the users' hosts do every day.
-var usual = faults{name: "noise+stragglers", noise: neighbours, stragglers: true}
+// neighbours is the noise of shared hosts.
+var neighbours = targetd.Noise{Every: 180 * time.Millisecond, For: 20 * time.Millisecond, Factor: 4}
+
+var stragglers = []step{{targetd.Faults{SlowFactor: stragglerFactor}, half}, {targetd.Faults{}, half}}
+
+var (
+	// quiet has no faults.
+	quiet = faults{name: "none"}
+	// usual is what the users' hosts do every day.
+	usual    = faults{name: "noise+stragglers", noise: neighbours, script: stragglers}
+	failFast = faults{name: "fail-fast", noise: neighbours, script: []step{{targetd.Faults{FailFast: true}, half}, {targetd.Faults{}, half}}}
+	lying    = faults{name: "lying-stragglers", noise: neighbours, script: []step{{targetd.Faults{SlowFactor: stragglerFactor, LieIdle: true}, half}, {targetd.Faults{}, half}}}
+	lagging  = faults{name: "lagging-reports", noise: neighbours, script: stragglers, reportLag: lag}
+	drains   = faults{name: "drain+cold-start", noise: neighbours, script: []step{
+		{targetd.Faults{Leaving: true}, 300 * time.Millisecond},
+		{targetd.Faults{SlowFactor: coldFactor}, 300 * time.Millisecond},
+		{targetd.Faults{}, 400 * time.Millisecond},
+	}}
+	shedding = faults{name: "shed", noise: neighbours, script: stragglers, always: targetd.Faults{ShedAbove: shedAbove}}
+	zoneLost = faults{name: "zone-gone", noise: neighbours, zoneGone: true}
+)
 
 // capacityShare returns the part of the nominal capacity of n targets that noise
-// and stragglers leave.
+// and the script leave.
 func (f faults) capacityShare(n int) float64 {
 	share := 1.0
 	if f.noise.Every > 0 {
 		cycle := float64(f.noise.Every + f.noise.For)
 		share = (float64(f.noise.Every) + float64(f.noise.For)/f.noise.Factor) / cycle
 	}
-	if f.stragglers {
-		slow := float64(stragglerFor) / float64(stragglerEvery) / float64(n)
-		share *= 1 - slow*(1-1/stragglerFactor)
+	if len(f.script) > 0 {
+		share *= 1 - (1-f.scriptShare())/float64(n)
 	}
 	return share
 }
 
+// scriptShare returns the mean capacity of a target under the script.
+func (f faults) scriptShare() float64 {
+	var left, total float64
+	for _, s := range f.script {
+		total += s.length.Seconds()
+		left += s.length.Seconds() * capacityUnder(s.faults)
+	}
+	return left / total
+}
+
+func capacityUnder(f targetd.Faults) float64 {
+	switch {
+	case f.FailFast, f.Leaving, f.Mute:
+		return 0
+	case f.SlowFactor > 0:
+		return 1 / f.SlowFactor
+	default:
+		return 1
+	}
+}
+
 // disturb plays the faults on the targets of one service until stop.
 func (f faults) disturb(targets []*targetd.Target, seed uint64, stop <-chan struct{}) {
-	if !f.stragglers {
+	for i, target := range targets {
+		faults := f.always
+		faults.Mute = f.zoneGone && zone(i) == zone(0)
+		target.SetFaults(faults)
+	}
+	if len(f.script) == 0 {
 		return
 	}
 	rng := rand.New(rand.NewPCG(seed, 4))
 	for {
 		target := targets[rng.IntN(len(targets))]
-		target.SetFaults(targetd.Faults{SlowFactor: stragglerFactor})
-		if !sleep(stragglerFor, stop) {
-			return
-		}
-		target.SetFaults(targetd.Faults{})
-		if !sleep(stragglerEvery-stragglerFor, stop) {
-			return
+		for _, s := range f.script {
+			faults := s.faults
+			faults.ShedAbove = f.always.ShedAbove
+			target.SetFaults(faults)
+			if !sleep(s.length, stop) {
+				return
+			}
 		}
 	}
 }
--- a/bench/policy/fleet.go
+++ b/bench/policy/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
+	"github.com/poplarwheel/poplarwheel/internal/proxy"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
 	"github.com/poplarwheel/poplarwheel/internal/settings"
 	"github.com/poplarwheel/poplarwheel/internal/standin/platformd"
@@ -139,6 +140,7 @@
 			MaxConnections: f.deployment.maxConnections,
 			MeanService:    meanService,
 			Noise:          r.faults.noise,
+			ReportLag:      r.faults.reportLag,
 			Seed:           seed*1000 + uint64(i),
 		})
 		listener, err := net.Listen("tcp", address)
@@ -160,7 +162,7 @@
 		Team:            d.name,
 		EntrySetSize:    r.k,
 		Policy:          r.policy,
-		ProbesPerSecond: r.probes * rate(size, r),
+		ProbesPerSecond: r.probes * rate(size, r) * float64(config.DefaultEntryVMLimit) / float64(r.k),
 		RetryShare:      retryShare,
 		Groups:          []config.TargetGroup{group},
 		RequestTypes: []config.RequestType{{
@@ -226,6 +228,7 @@
 	stop := make(chan struct{})
 	results := newTally()
 	cpu := cpuTime()
+	before := f.measuring()
 	start := time.Now().Add(10 * time.Millisecond)
 	record := start.Add(warmUp)
 	var running sync.WaitGroup
@@ -245,6 +248,9 @@
 	for _, s := range services {
 		s.count(&measured)
 	}
+	after := f.measuring()
+	measured.probeBytes = after.ProbeBytes - before.ProbeBytes
+	measured.reportBytes = after.ReportBytes - before.ReportBytes
 	return measured
 }
 
@@ -256,6 +262,17 @@
 	}
 }
 
+// measuring sums what the daemons have spent on measuring.
+func (f *fleet) measuring() proxy.Measuring {
+	var sum proxy.Measuring
+	for _, d := range f.daemons {
+		spent := d.Dump().Measuring
+		sum.ProbeBytes += spent.ProbeBytes
+		sum.ReportBytes += spent.ReportBytes
+	}
+	return sum
+}
+
 func (f *fleet) bootstrap() []string {
 	var addresses []string
 	for _, s := range f.settings {
--- a/bench/policy/result.go
+++ b/bench/policy/result.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -20,11 +21,13 @@
 	requests uint64
 	// probes are load reports and health checks asked for.
 	probes uint64
-	// riderBytes are the bytes of load reports on answers.
-	riderBytes uint64
-	// hedges and retries are extra attempts.
-	hedges uint64
-	cpu    time.Duration
+	// probeBytes are the bytes of probes and their answers.
+	probeBytes uint64
+	// reportBytes are the bytes of load reports on answers.
+	reportBytes uint64
+	// cpu is the processor time of the whole process, callers and targets
+	// included.
+	cpu time.Duration
 }
 
 func (r *result) merge(other result) {
@@ -38,8 +41,8 @@
 	r.sent += other.sent
 	r.requests += other.requests
 	r.probes += other.probes
-	r.riderBytes += other.riderBytes
-	r.hedges += other.hedges
+	r.probeBytes += other.probeBytes
+	r.reportBytes += other.reportBytes
 	r.cpu += other.cpu
 }
 
@@ -68,24 +71,46 @@
 	return r.policy
 }
 
+// columns are the figures of a row, as printed.
+type columns struct {
+	policy, faults                            string
+	load                                      float64
+	k                                         int
+	p50, p99, p999                            float64
+	inTime                                    float64
+	probes, probeBytes, reportBytes, attempts float64
+	cpu                                       float64
+	calls                                     uint64
+}
+
+func (r *result) columns(row row) columns {
+	return columns{
+		policy: row.label(), faults: row.faults.name, load: row.load, k: row.k,
+		p50: r.quantileMs(50), p99: r.quantileMs(99), p999: r.quantileMs(99.9),
+		inTime: float64(r.inTime) / float64(r.calls),
+		probes: r.perCall(r.probes), probeBytes: r.perCall(r.probeBytes), reportBytes: r.perCall(r.reportBytes),
+		attempts: r.extra(),
+		cpu:      float64(r.cpu.Microseconds()) / float64(r.sent),
+		calls:    r.calls,
+	}
+}
+
 // print writes a table for people and one line of key=value pairs for each row.
 func print(t table, results []result) {
-	fmt.Printf("\n%s: %s, %d entry VMs\n", t.name, t.deployment.name, t.deployment.entryVMs)
-	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "policy\tfaults\tload\tk\tp50 ms\tp99 ms\tp99.9 ms\tin time\tprobes/call\treport B/call\textra attempts/call\tCPU µs/call\tcalls\t")
+	fmt.Printf("\n%s: %s, %d entry VMs\n\n", t.name, t.deployment.name, t.deployment.entryVMs)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.Debug)
+	_, _ = fmt.Fprintln(w, "| policy\t faults\t load\t k\t p50 ms\t p99 ms\t p99.9 ms\t in time\t probes a call\t probe B a call\t report B a call\t extra attempts a call\t CPU µs a call\t calls\t")
+	_, _ = fmt.Fprintln(w, "|---"+strings.Repeat("\t---", 13)+"\t")
 	for i, row := range t.rows {
-		r := &results[i]
-		fmt.Fprintf(w, "%s\t%s\t%.2f\t%d\t%.1f\t%.1f\t%.1f\t%.4f\t%.3f\t%.1f\t%.4f\t%.0f\t%d\t\n",
-			row.label(), row.faults.name, row.load, row.k, r.quantileMs(50), r.quantileMs(99), r.quantileMs(99.9),
-			float64(r.inTime)/float64(r.calls), r.perCall(r.probes), r.perCall(r.riderBytes), r.extra(),
-			float64(r.cpu.Microseconds())/float64(r.sent), r.calls)
+		c := results[i].columns(row)
+		_, _ = fmt.Fprintf(w, "| %s\t %s\t %.2f\t %d\t %.1f\t %.1f\t %.1f\t %.4f\t %.3f\t %.1f\t %.1f\t %.4f\t %.0f\t %d\t\n",
+			c.policy, c.faults, c.load, c.k, c.p50, c.p99, c.p999, c.inTime, c.probes, c.probeBytes, c.reportBytes, c.attempts, c.cpu, c.calls)
 	}
 	_ = w.Flush()
+	fmt.Println()
 	for i, row := range t.rows {
-		r := &results[i]
+		c := results[i].columns(row)
 		fmt.Printf("table=%s policy=%s faults=%s load=%.2f k=%d p50_ms=%.1f p99_ms=%.1f p999_ms=%.1f in_time=%.4f cost_msgs_per_call=%.3f cost_bytes_per_call=%.1f extra_attempts_per_call=%.4f cpu_us_per_call=%.0f calls=%d\n",
-			t.name, row.label(), row.faults.name, row.load, row.k, r.quantileMs(50), r.quantileMs(99), r.quantileMs(99.9),
-			float64(r.inTime)/float64(r.calls), r.perCall(r.probes), r.perCall(r.riderBytes), r.extra(),
-			float64(r.cpu.Microseconds())/float64(r.sent), r.calls)
+			t.name, c.policy, c.faults, c.load, c.k, c.p50, c.p99, c.p999, c.inTime, c.probes, c.probeBytes+c.reportBytes, c.attempts, c.cpu, c.calls)
 	}
 }
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/config"
-	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
 )
 
 const (
@@ -14,17 +13,18 @@
 	slots = 3
 	// deadline is the agreed time of every call.
 	deadline = 250 * time.Millisecond
+	// usualLoad is the share of the capacity in most tables.
+	usualLoad = 0.8
+	// usualSize is the number of entry VMs a service in most tables.
+	usualSize = 3
 	// hedgeAfter is the delay of a hedge.
-	hedgeAfter = 15 * time.Millisecond
+	hedgeAfter = 20 * time.Millisecond
 	// hedgeShare limits hedges to this share of calls.
 	hedgeShare = 0.05
 	// retryShare limits retries to this share of calls.
 	retryShare = 0.1
 )
 
-// neighbours is the noise of shared hosts.
-var neighbours = targetd.Noise{Every: 180 * time.Millisecond, For: 20 * time.Millisecond, Factor: 4}
-
 // deployment is the size of one user's system.
 type deployment struct {
 	name           string
@@ -40,11 +40,11 @@
 }
 
 var (
-	lumenwalk = deployment{name: "lumenwalk", entryVMs: 15, maxConnections: 250, services: []size{{"routes", 10}}}
-	swanbrook = deployment{name: "swanbrook", entryVMs: 15, maxConnections: 200, services: []size{{"stock", 8}}}
+	routes = deployment{name: "lumenwalk routes", entryVMs: 15, maxConnections: 250, services: []size{{"routes", 10}}}
+	stock  = deployment{name: "swanbrook stock", entryVMs: 15, maxConnections: 200, services: []size{{"stock", 8}}}
 
-	lumenwalkWhole = deployment{name: "lumenwalk-whole", entryVMs: 17, maxConnections: 250, services: []size{{"routes", 10}, {"bookings", 6}, {"signs", 20}}}
-	swanbrookWhole = deployment{name: "swanbrook-whole", entryVMs: 17, maxConnections: 200, services: []size{{"stock", 8}, {"bookings", 6}, {"logistics", 12}}}
+	lumenwalk = deployment{name: "lumenwalk", entryVMs: 17, maxConnections: 250, services: []size{{"routes", 10}, {"bookings", 6}, {"signs", 20}}}
+	swanbrook = deployment{name: "swanbrook", entryVMs: 17, maxConnections: 200, services: []size{{"stock", 8}, {"bookings", 6}, {"logistics", 12}}}
 )
 
 // row is one experiment.
@@ -56,7 +56,8 @@
 	load float64
 	// k is the number of entry VMs that serve a service.
 	k int
-	// probes is the measuring budget, in probes per call.
+	// probes is the rate that the daemons of an entry set may use together, in
+	// probes per call.
 	probes float64
 	faults faults
 }
@@ -68,23 +69,19 @@
 	rows       []row
 }
 
-// tables returns the tables to run.
+// tables returns the tables to run: the short form is the first.
 func tables(o options) []table {
 	all := []table{
-		{name: "policies", deployment: lumenwalk, rows: policyRows(0.8, 3)},
-		{name: "trial", deployment: lumenwalk, rows: trialRows()},
-	}
-	if !o.full && o.only == "" {
-		return all[:1]
+		{name: "policies", deployment: routes, rows: policyRows(usualLoad)},
+		{name: "light", deployment: routes, rows: policyRows(0.5)},
+		{name: "heavy", deployment: routes, rows: policyRows(0.95)},
+		{name: "sizes", deployment: routes, rows: sizeRows()},
+		{name: "hedges", deployment: routes, rows: hedgeRows()},
+		{name: "faults", deployment: stock, rows: faultRows()},
+		{name: "lumenwalk", deployment: lumenwalk, rows: deploymentRows()},
+		{name: "swanbrook", deployment: swanbrook, rows: deploymentRows()},
 	}
-	all = append(all,
-		table{name: "loads", deployment: lumenwalk, rows: append(policyRows(0.5, 3), policyRows(0.95, 3)...)},
-		table{name: "sizes", deployment: lumenwalk, rows: sizeRows()},
-		table{name: "faults", deployment: swanbrook, rows: faultRows()},
-		table{name: "lumenwalk", deployment: lumenwalkWhole, rows: deploymentRows()},
-		table{name: "swanbrook", deployment: swanbrookWhole, rows: deploymentRows()},
-	)
-	if o.only == "" {
+	if o.full {
 		return all
 	}
 	for _, t := range all {
@@ -92,26 +89,34 @@
 			return []table{t}
 		}
 	}
-	return nil
+	return all[:1]
+}
+
+func usualRow(policy string, hedge time.Duration) row {
+	return row{policy: policy, hedgeAfter: hedge, load: usualLoad, k: usualSize, faults: usual}
 }
 
 // policyRows puts all policies side by side under noise and stragglers.
-func policyRows(load float64, k int) []row {
-	var rows []row
-	for _, policy := range []string{
-		config.PolicyRandom,
-		config.PolicyRoundRobin,
-		config.PolicyTwoChoices,
-		config.PolicyTwoReports,
-		config.PolicyLeast,
-		config.PolicyLeastReports,
-		config.PolicyLeastWork,
-		policyOracle,
-	} {
-		rows = append(rows, row{policy: policy, load: load, k: k, faults: usual})
+func policyRows(load float64) []row {
+	rows := []row{
+		usualRow(config.PolicyRandom, 0),
+		usualRow(config.PolicyRoundRobin, 0),
+		usualRow(config.PolicyTwoChoices, 0),
+		usualRow(config.PolicyTwoReports, 0),
+		usualRow(config.PolicyLeast, 0),
+		usualRow(config.PolicyLeastReports, 0),
+		usualRow(config.PolicyPooledProbes, 0),
+		usualRow(config.PolicyFreeSlot, 0),
+		usualRow(config.PolicyLeastWork, 0),
+		usualRow(policyOracle, 0),
+		usualRow(config.PolicyLeast, hedgeAfter),
+		usualRow(config.PolicyLeastWork, hedgeAfter),
 	}
-	for _, policy := range []string{config.PolicyLeast, config.PolicyLeastReports, config.PolicyLeastWork} {
-		rows = append(rows, row{policy: policy, hedgeAfter: hedgeAfter, load: load, k: k, faults: usual})
+	for i := range rows {
+		rows[i].load = load
+		if rows[i].policy == config.PolicyPooledProbes {
+			rows[i].probes = 1
+		}
 	}
 	return rows
 }
@@ -119,32 +124,59 @@
 func sizeRows() []row {
 	var rows []row
 	for _, k := range []int{1, 2, 3, 5, 15} {
-		rows = append(rows, row{policy: config.PolicyLeast, load: 0.8, k: k, faults: usual})
-		rows = append(rows, row{policy: config.PolicyLeast, hedgeAfter: hedgeAfter, load: 0.8, k: k, faults: usual})
+		for _, r := range []row{
+			usualRow(config.PolicyRandom, 0),
+			usualRow(config.PolicyLeast, 0),
+			usualRow(config.PolicyLeastWork, 0),
+			usualRow(config.PolicyLeastWork, hedgeAfter),
+			usualRow(policyOracle, 0),
+		} {
+			r.k = k
+			rows = append(rows, r)
+		}
 	}
 	return rows
 }
 
-func faultRows() []row { return nil }
+func hedgeRows() []row {
+	rows := []row{usualRow(policyOracle, 0), usualRow(config.PolicyLeastWork, 0)}
+	for _, ms := range []int{10, 15, 20, 25, 30} {
+		rows = append(rows, usualRow(config.PolicyLeastWork, time.Duration(ms)*time.Millisecond))
+	}
+	return rows
+}
 
-func deploymentRows() []row {
+func faultRows() []row {
 	var rows []row
-	for _, load := range []float64{0.5, 0.8, 0.95} {
-		rows = append(rows,
-			row{policy: config.PolicyRandom, load: load, k: 3, faults: usual},
-			row{policy: config.PolicyLeast, hedgeAfter: hedgeAfter, load: load, k: 3, faults: usual},
-			row{policy: policyOracle, load: load, k: 3, faults: usual},
-		)
+	for _, f := range []faults{quiet, usual, failFast, lying, lagging, drains, shedding, zoneLost} {
+		for _, r := range []row{
+			usualRow(config.PolicyRandom, 0),
+			usualRow(config.PolicyLeast, hedgeAfter),
+			usualRow(config.PolicyLeastReports, hedgeAfter),
+			usualRow(config.PolicyLeastWork, hedgeAfter),
+			usualRow(policyOracle, 0),
+		} {
+			r.faults = f
+			if f.zoneGone {
+				r.load = 0.5
+			}
+			rows = append(rows, r)
+		}
 	}
 	return rows
 }
 
-func trialRows() []row {
+func deploymentRows() []row {
 	var rows []row
-	rows = append(rows, row{policy: policyOracle, load: 0.8, k: 3, faults: usual})
-	for _, policy := range []string{config.PolicyLeast, config.PolicyLeastWork} {
-		for _, ms := range []int{0, 10, 15, 20, 25, 30} {
-			rows = append(rows, row{policy: policy, hedgeAfter: time.Duration(ms) * time.Millisecond, load: 0.8, k: 3, faults: usual})
+	for _, load := range []float64{0.5, 0.8, 0.95} {
+		for _, r := range []row{
+			usualRow(config.PolicyRandom, 0),
+			usualRow(config.PolicyLeast, hedgeAfter),
+			usualRow(config.PolicyLeastWork, hedgeAfter),
+			usualRow(policyOracle, 0),
+		} {
+			r.load = load
+			rows = append(rows, r)
 		}
 	}
 	return rows
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,7 +61,7 @@
 	Policy string `json:"policy" validate:"required"`
 	// ProbesPerSecond is the measuring budget of the whole system for this
 	// service, in probes per second. 0 turns probing off.
-	ProbesPerSecond float64 `json:"probes_per_second" validate:"min=0,max=10000"`
+	ProbesPerSecond float64 `json:"probes_per_second" validate:"min=0,max=100000"`
 	// RetryShare limits retries to this share of calls.
 	RetryShare float64 `json:"retry_share" validate:"min=0,max=1"`
 	// HedgeShare limits hedged attempts to this share of calls.
