Let the platform stand-in imitate the platform's failures

Cause: outages, broken and silent watches, a lagging VM list, rate limits and lost answers could not be caused in tests.

Counts are kept by kind, with the peak of one second.

--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -23,38 +23,19 @@
 	PathControlCounts = "/control/counts"
 )
 
-// Faults are the failures that the stand-in imitates.
-type Faults struct {
-	// Down refuses every call with status 503.
-	Down bool `json:"down"`
-	// DelayMs delays every call, in milliseconds.
-	DelayMs int `json:"delay_ms"`
-	// LoseWriteAnswers applies writes and closes the connection without an answer.
-	LoseWriteAnswers bool `json:"lose_write_answers"`
-}
-
-// Counts are the calls served since the start.
-type Counts struct {
-	Reads   uint64 `json:"reads"`
-	Writes  uint64 `json:"writes"`
-	Watches uint64 `json:"watches"`
-}
-
 // Server serves a Store over HTTP.
 type Server struct {
 	store  *Store
 	http   *fasthttp.Server
-	faults atomic.Pointer[Faults]
-	reads  atomic.Uint64
-	writes atomic.Uint64
-	waits  atomic.Uint64
+	faults atomic.Pointer[faultState]
+	counts counters
 }
 
 // NewServer returns a server with an empty store.
 func NewServer() *Server {
 	s := &Server{store: NewStore()}
-	s.faults.Store(&Faults{})
-	s.http = &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: platform.MaxValueBytes + 4096, NoDefaultServerHeader: true}
+	s.faults.Store(newFaultState(Faults{}, time.Now()))
+	s.http = &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 2 * platform.MaxValueBytes, NoDefaultServerHeader: true}
 	return s
 }
 
@@ -62,13 +43,15 @@
 func (s *Server) Store() *Store { return s.store }
 
 // SetFaults replaces the faults.
-func (s *Server) SetFaults(faults Faults) { s.faults.Store(&faults) }
-
-// Counts returns the calls served since the start.
-func (s *Server) Counts() Counts {
-	return Counts{Reads: s.reads.Load(), Writes: s.writes.Load(), Watches: s.waits.Load()}
+func (s *Server) SetFaults(faults Faults) {
+	next := newFaultState(faults, time.Now())
+	s.store.SetListLag(next.listLag())
+	close(s.faults.Swap(next).ended)
 }
 
+// Counts returns the calls received since the start.
+func (s *Server) Counts() Counts { return s.counts.snapshot() }
+
 // Serve accepts connections until Close.
 func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
@@ -81,36 +64,74 @@
 		s.control(ctx, path)
 		return
 	}
+	s.counts.received(time.Now())
 	faults := s.faults.Load()
 	if faults.DelayMs > 0 {
 		time.Sleep(time.Duration(faults.DelayMs) * time.Millisecond)
 	}
-	if faults.Down {
+	if faults.down(time.Now()) {
+		s.counts.unavailable.Add(1)
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	if ctx.IsGet() {
+		s.read(ctx, path, faults)
+		return
+	}
+	s.change(ctx, path, faults)
+}
+
+func (s *Server) read(ctx *fasthttp.RequestCtx, path string, faults *faultState) {
+	if !faults.reads.Allow() {
+		s.counts.limitedReads.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
+	}
 	key, isObject := strings.CutPrefix(path, platform.PathObjects)
+	_, wait := waitArgs(ctx)
 	switch {
-	case path == platform.PathVMs && ctx.IsGet():
-		s.vms(ctx)
+	case path == platform.PathVMs:
+		s.counts.lists.Add(1)
+		if wait == 0 || !faults.watchFault(ctx) {
+			s.vms(ctx)
+		}
 	case !isObject || key == "":
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
-	case ctx.IsGet() && ctx.QueryArgs().Has(platform.ArgAfter):
-		s.watch(ctx, key)
-	case ctx.IsGet():
-		s.get(ctx, key)
-	case ctx.IsPut() || ctx.IsDelete():
-		s.write(ctx, key)
-		if faults.LoseWriteAnswers {
-			_ = ctx.Conn().Close()
+	case ctx.QueryArgs().Has(platform.ArgAfter):
+		s.counts.watches.Add(1)
+		if !faults.watchFault(ctx) {
+			s.watch(ctx, key)
 		}
 	default:
+		s.counts.reads.Add(1)
+		s.get(ctx, key)
+	}
+}
+
+func (s *Server) change(ctx *fasthttp.RequestCtx, path string, faults *faultState) {
+	key, isObject := strings.CutPrefix(path, platform.PathObjects)
+	if !isObject || key == "" || !(ctx.IsPut() || ctx.IsDelete()) {
 		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
+		return
+	}
+	if !faults.writes.Allow() {
+		s.counts.limitedWrites.Add(1)
+		ctx.SetStatusCode(fasthttp.StatusTooManyRequests)
+		return
+	}
+	if len(ctx.PostBody()) > platform.MaxValueBytes {
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
+		return
+	}
+	s.counts.writes.Add(1)
+	s.write(ctx, key)
+	if faults.losesAnswer() {
+		s.counts.lostAnswers.Add(1)
+		_ = ctx.Conn().Close()
 	}
 }
 
 func (s *Server) get(ctx *fasthttp.RequestCtx, key string) {
-	s.reads.Add(1)
 	object, err := s.store.Get(key)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -120,7 +141,6 @@
 }
 
 func (s *Server) watch(ctx *fasthttp.RequestCtx, key string) {
-	s.waits.Add(1)
 	after, wait := waitArgs(ctx)
 	object, ok := s.store.Watch(key, after, wait)
 	if !ok {
@@ -131,7 +151,6 @@
 }
 
 func (s *Server) vms(ctx *fasthttp.RequestCtx) {
-	s.waits.Add(1)
 	after, wait := waitArgs(ctx)
 	list, ok := s.store.VMs(after, wait)
 	if !ok {
@@ -142,7 +161,6 @@
 }
 
 func (s *Server) write(ctx *fasthttp.RequestCtx, key string) {
-	s.writes.Add(1)
 	version, ok := expectedVersion(ctx)
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusPreconditionRequired)
--- a/internal/standin/platformd/store.go
+++ b/internal/standin/platformd/store.go
@@ -14,16 +14,14 @@
 	mu      sync.Mutex
 	version platform.Version
 	objects map[string]platform.Object
-	vms     map[string]platform.VM
 	changed chan struct{}
-	vmsAt   platform.Version
+	list    vmList
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
 		objects: map[string]platform.Object{},
-		vms:     map[string]platform.VM{},
 		changed: make(chan struct{}),
 	}
 }
@@ -79,39 +77,6 @@
 	return object, ok
 }
 
-// SetVM adds or replaces a VM in the list.
-func (s *Store) SetVM(vm platform.VM) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.vms[vm.Name] = vm
-	s.vmsAt = s.advance()
-}
-
-// RemoveVM removes a VM from the list.
-func (s *Store) RemoveVM(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.vms, name)
-	s.vmsAt = s.advance()
-}
-
-// VMs waits until the list's version is above after, for wait at most. The
-// result is false on timeout.
-func (s *Store) VMs(after platform.Version, wait time.Duration) (platform.VMList, bool) {
-	var list platform.VMList
-	ok := s.await(wait, func() bool {
-		if s.vmsAt <= after {
-			return false
-		}
-		list.Version = s.vmsAt
-		for _, vm := range s.vms {
-			list.VMs = append(list.VMs, vm)
-		}
-		return true
-	})
-	return list, ok
-}
-
 func (s *Store) advance() platform.Version {
 	s.version++
 	close(s.changed)
