Bring accepted configuration into force through platform and peers

Cause: a daemon learned of a head from one watch alone. A silent or broken watch, an outage at start or a lost answer left it without the accepted revision, and old bodies were never deleted.

Change: rollout.Tracker, a plain state machine, decides which source is read next: a watch, a jittered periodic read (4 s) behind it, and peers, whose revision travels on heartbeats. Heads and bodies come from peers over the inner protocol when the platform fails or many bodies are missing; reads of bodies from the platform are limited to 60 a second a daemon. A conflict tells what changed since the base and by whom. A lost answer is read back and sent again on the same version. Keys of bodies are unique to their acceptance, so a body that a head no longer names can be deleted after 8 revisions. The head keeps the last 100 revisions. RevisionGrows and RevisionUnique are asserted where a head comes into force. A platform that shows an older head is reported and not followed.

The inner protocol proves the shared key before any message, bounds frames in time, and may accept two keys. Leaving daemons announce it, serve on and close connections gracefully.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -82,16 +82,17 @@
 	if e.replied.Swap(true) {
 		return
 	}
-	if e.close {
+	if e.close || e.server.draining.Load() {
+		e.close = true
 		response.SetConnectionClose()
 	}
 	buffer := bytebufferpool.Get()
 	writer := bufio.NewWriterSize(buffer, buffer.Len()+4096)
 	_ = response.Write(writer)
 	_ = writer.Flush()
-	err := e.conn.AsyncWrite(buffer.B, func(conn gnet.Conn, _ error) error {
+	err := e.conn.AsyncWrite(buffer.B, func(conn gnet.Conn, err error) error {
 		bytebufferpool.Put(buffer)
-		return e.server.written(conn, e)
+		return e.server.written(conn, e, err)
 	})
 	if err != nil {
 		e.server.inFlight.Add(-1)
@@ -104,10 +105,24 @@
 	// waitingSince is when the current wait for the caller began, in Unix
 	// nanoseconds; 0 while a request is served.
 	waitingSince atomic.Int64
-	// partial is set while a request has arrived in part.
-	partial atomic.Bool
+	// phase is one of the phase constants.
+	phase atomic.Int32
 }
 
+// Phases of a connection.
+const (
+	// phaseIdle waits for a request.
+	phaseIdle int32 = iota
+	// phasePartial has received a request in part.
+	phasePartial
+	// phaseServing waits for the handler's answer.
+	phaseServing
+	// phaseFlushing sends the rest of an answer.
+	phaseFlushing
+	// phaseClosing waits for the caller to close.
+	phaseClosing
+)
+
 // Server accepts callers.
 type Server struct {
 	gnet.BuiltinEventEngine
@@ -117,6 +132,7 @@
 	engine   gnet.Engine
 	started  chan struct{}
 	inFlight atomic.Int64
+	draining atomic.Bool
 	conns    sync.Map
 }
 
@@ -169,8 +185,13 @@
 func (s *Server) OnClose(conn gnet.Conn, _ error) gnet.Action {
 	s.conns.Delete(conn)
 	state := conn.Context().(*connState)
-	if exchange := state.exchange; exchange != nil {
-		state.exchange = nil
+	exchange := state.exchange
+	state.exchange = nil
+	switch {
+	case exchange == nil:
+	case state.phase.Load() == phaseFlushing:
+		s.inFlight.Add(-1)
+	default:
 		exchange.callerGone()
 	}
 	return gnet.None
@@ -179,6 +200,13 @@
 // OnTraffic implements gnet.EventHandler.
 func (s *Server) OnTraffic(conn gnet.Conn) gnet.Action {
 	state := conn.Context().(*connState)
+	switch state.phase.Load() {
+	case phaseClosing:
+		_ = s.closeGracefully(conn, state)
+		return gnet.None
+	case phaseFlushing:
+		_ = s.flush(conn, state)
+	}
 	if state.exchange != nil {
 		if conn.InboundBuffered() > s.limits.HeaderBytes+s.limits.BodyBytes {
 			return gnet.Close
@@ -191,7 +219,7 @@
 	}
 	request, size, err := parse(buffered, s.limits)
 	if err != nil {
-		return s.reject(conn, err)
+		return s.reject(conn, state, err)
 	}
 	if request == nil {
 		s.awaitRest(state)
@@ -203,13 +231,13 @@
 }
 
 func (s *Server) awaitRest(state *connState) {
-	if !state.partial.Swap(true) {
+	if state.phase.Swap(phasePartial) != phasePartial {
 		state.waitingSince.Store(time.Now().UnixNano())
 	}
 }
 
 func (s *Server) serve(conn gnet.Conn, state *connState, request *fasthttp.Request) {
-	state.partial.Store(false)
+	state.phase.Store(phaseServing)
 	state.waitingSince.Store(0)
 	exchange := &Exchange{server: s, conn: conn, state: state, close: request.Header.ConnectionClose()}
 	state.exchange = exchange
@@ -217,20 +245,6 @@
 	s.handler.Serve(request, exchange)
 }
 
-// written runs on the event loop once an answer is in the connection's buffer.
-func (s *Server) written(conn gnet.Conn, exchange *Exchange) error {
-	s.inFlight.Add(-1)
-	exchange.state.exchange = nil
-	exchange.state.waitingSince.Store(time.Now().UnixNano())
-	if exchange.close {
-		return conn.Close()
-	}
-	if conn.InboundBuffered() > 0 {
-		return conn.Wake(nil)
-	}
-	return nil
-}
-
 // OnTick implements gnet.EventHandler: it closes connections of callers that
 // take too long.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
@@ -250,14 +264,19 @@
 		return false
 	}
 	limit := s.limits.IdleTimeout
-	if state.partial.Load() {
+	switch state.phase.Load() {
+	case phasePartial:
 		limit = s.limits.SendTimeout
+	case phaseFlushing:
+		limit = flushLimit
+	case phaseClosing:
+		limit = lingerLimit
 	}
 	return now.Sub(time.Unix(0, since)) > limit
 }
 
 // reject answers a request that can't be parsed and closes the connection.
-func (s *Server) reject(conn gnet.Conn, err error) gnet.Action {
+func (s *Server) reject(conn gnet.Conn, state *connState, err error) gnet.Action {
 	var parseErr *ParseError
 	if !errors.As(err, &parseErr) {
 		return gnet.Close
@@ -269,7 +288,8 @@
 	})
 	response.SetConnectionClose()
 	_, _ = conn.Write([]byte(response.String()))
-	return gnet.Close
+	_ = s.closeGracefully(conn, state)
+	return gnet.None
 }
 
 // ErrorResponse returns an answer that the entry daemon makes itself.
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -7,7 +7,9 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/membership"
+	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/proxy"
+	"github.com/poplarwheel/poplarwheel/internal/rollout"
 )
 
 // Paths of the admin port.
@@ -20,14 +22,37 @@
 
 // Dump is the state of a daemon.
 type Dump struct {
-	Name        string              `json:"name"`
-	Zone        string              `json:"zone"`
-	Incarnation string              `json:"incarnation"`
-	Started     time.Time           `json:"started"`
-	Revision    uint64              `json:"revision"`
-	InFlight    int64               `json:"in_flight"`
-	Members     []membership.Member `json:"members"`
-	Targets     []proxy.TargetState `json:"targets"`
+	Name          string              `json:"name"`
+	Zone          string              `json:"zone"`
+	Incarnation   string              `json:"incarnation"`
+	Started       time.Time           `json:"started"`
+	Revision      uint64              `json:"revision"`
+	InFlight      int64               `json:"in_flight"`
+	Members       []membership.Member `json:"members"`
+	Targets       []proxy.TargetState `json:"targets"`
+	Configuration rollout.Status      `json:"configuration"`
+	Peers         PeerStatus          `json:"peers"`
+}
+
+// PeerStatus is the state of the inner protocol.
+type PeerStatus struct {
+	peer.TrafficCounts
+	// Refused counts connections that didn't prove the shared key.
+	Refused uint64 `json:"refused"`
+	// Suspicions counts members that this daemon suspected.
+	Suspicions uint64 `json:"suspicions"`
+	// Refutations counts wrong records of this daemon that it contradicted.
+	Refutations uint64 `json:"refutations"`
+}
+
+func (d *Daemon) peerStatus() PeerStatus {
+	suspicions, refutations := d.members.counters()
+	return PeerStatus{
+		TrafficCounts: d.peers.Traffic().Add(d.peerClient.Traffic()),
+		Refused:       d.peers.Refused(),
+		Suspicions:    suspicions,
+		Refutations:   refutations,
+	}
 }
 
 func (d *Daemon) serveAdmin(ctx *fasthttp.RequestCtx) {
@@ -45,18 +70,17 @@
 
 // Dump returns the daemon's state.
 func (d *Daemon) Dump() Dump {
-	d.membersMu.Lock()
-	members := d.members.Members()
-	d.membersMu.Unlock()
 	return Dump{
-		Name:        d.settings.Name,
-		Zone:        d.settings.Zone,
-		Incarnation: d.incarnation,
-		Started:     d.started,
-		Revision:    d.snapshot.Load().Revision,
-		InFlight:    d.callers.InFlight(),
-		Members:     members,
-		Targets:     d.proxy.Targets(),
+		Name:          d.settings.Name,
+		Zone:          d.settings.Zone,
+		Incarnation:   d.incarnation,
+		Started:       d.started,
+		Revision:      d.snapshot.Load().Revision,
+		InFlight:      d.callers.InFlight(),
+		Members:       d.members.list(),
+		Configuration: d.follower.Status(),
+		Peers:         d.peerStatus(),
+		Targets:       d.proxy.Targets(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"errors"
 	"net"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,10 +32,6 @@
 	sendTimeout = 5 * time.Second
 	// idleTimeout bounds the time between a caller's requests.
 	idleTimeout = 2 * time.Minute
-	// listWait is how long one watch of the VM list waits.
-	listWait = 5 * time.Second
-	// listRetryDelay is the pause after a failed read of the VM list.
-	listRetryDelay = 500 * time.Millisecond
 )
 
 // Daemon is one entry daemon.
@@ -55,9 +50,10 @@
 	sessions    atomic.Uint64
 	started     time.Time
 	stop        chan struct{}
-
-	membersMu sync.Mutex
-	members   *membership.View
+	members     *members
+	// targetsLeaving are the target VMs that the platform's list shows as leaving
+	// or gone.
+	targetsLeaving atomic.Pointer[map[string]bool]
 }
 
 // New returns a daemon that isn't running.
@@ -68,13 +64,12 @@
 		log:         log.WithField("vm", s.Name),
 		incarnation: hex.EncodeToString(id[:8]),
 		store:       platform.NewClient(s.Platform, s.PlatformTimeout()),
-		members:     membership.NewView(),
 		stop:        make(chan struct{}),
 	}
 	d.snapshot.Store(config.Empty())
+	d.targetsLeaving.Store(&map[string]bool{})
 	table := idempotency.NewTable(d.incarnation)
 	d.proxy = proxy.New(d.incarnation, table, d.log)
-	d.follower = rollout.NewFollower(d.store, d.log, d.apply)
 	limits := callerserver.Limits{
 		HeaderBytes: s.MaxHeaderBytes,
 		BodyBytes:   s.MaxBodyBytes,
@@ -83,14 +78,39 @@
 	}
 	d.callers = callerserver.New(d, limits, d.log)
 	d.peers = peer.NewServer([]byte(s.PeerKey), d.log)
+	if s.PeerKeyAlso != "" {
+		d.peers.AcceptKey([]byte(s.PeerKeyAlso))
+	}
 	d.peerClient = peer.NewClient([]byte(s.PeerKey))
+	d.follow()
 	d.admin = &fasthttp.Server{Handler: d.serveAdmin, NoDefaultServerHeader: true}
 	return d
 }
 
+// follow sets up the parts that follow configuration and membership.
+func (d *Daemon) follow() {
+	self := membership.Record{
+		Name:        d.settings.Name,
+		IP:          d.settings.IP,
+		Region:      d.settings.Region,
+		Zone:        d.settings.Zone,
+		Incarnation: d.incarnation,
+		Epoch:       uint64(time.Now().UnixMilli()),
+		State:       membership.Joining,
+	}
+	d.members = newMembers(self, d.settings.PeerPort, d.peerClient, d.log)
+	d.members.detector.Seed(d.settings.Peers)
+	d.follower = rollout.NewFollower(d.store, &configurationPeers{client: d.peerClient, members: d.members}, d.log, d.apply)
+	d.members.follower = d.follower
+	d.members.register(d.peers)
+	registerConfiguration(d.peers, d.follower)
+}
+
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	d.proxy.Apply(snapshot)
+	d.targetsConfigured()
 	d.snapshot.Store(snapshot)
+	d.members.join()
 }
 
 // Run serves until ctx is done and then shuts down gracefully.
@@ -110,6 +130,7 @@
 	go func() { failed <- d.callers.Run(d.settings.CallerAddress(), d.settings.EventLoops) }()
 	go d.follower.Run()
 	go d.followVMs()
+	go d.members.run(d.stop)
 	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
@@ -134,52 +155,25 @@
 	d.log.Info("entry daemon stopped")
 }
 
-// drain serves on until callers have forgotten this VM and nothing is in flight.
-func (d *Daemon) drain() {
-	d.log.WithField("in_flight", d.callers.InFlight()).Info("draining")
-	deadline := time.Now().Add(time.Duration(d.settings.KeepSeconds)*time.Second + lastAnswerLimit)
-	keep := time.Now().Add(time.Duration(d.settings.KeepSeconds) * time.Second)
-	for time.Now().Before(deadline) {
-		if time.Now().After(keep) && d.callers.InFlight() == 0 {
-			return
-		}
-		time.Sleep(drainPoll)
+func (d *Daemon) stopping() bool {
+	select {
+	case <-d.stop:
+		return true
+	default:
+		return false
 	}
 }
 
-const (
-	// lastAnswerLimit bounds the wait for the last answers.
-	lastAnswerLimit = 30 * time.Second
-	// drainPoll is the pause between two looks at what is in flight.
-	drainPoll = 50 * time.Millisecond
-)
-
-func (d *Daemon) followVMs() {
-	var seen platform.Version
-	for {
-		list, err := d.store.VMs(seen, listWait)
-		if err == nil && list.Version != seen {
-			seen = list.Version
-			d.listed(list.VMs)
-		}
-		if err != nil {
-			d.log.WithError(err).Warn("VM list not read")
-			time.Sleep(listRetryDelay)
-		}
-		select {
-		case <-d.stop:
-			return
-		default:
-		}
+// sleep waits for pause, or until the daemon stops.
+func (d *Daemon) sleep(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.stop:
 	}
 }
 
-func (d *Daemon) listed(vms []platform.VM) {
-	d.membersMu.Lock()
-	defer d.membersMu.Unlock()
-	d.members.Listed(vms)
-}
-
 // Serve implements callerserver.Handler.
 func (d *Daemon) Serve(request *fasthttp.Request, exchange *callerserver.Exchange) {
 	if string(request.URI().Path()) == wire.PathEntries {
@@ -216,10 +210,7 @@
 }
 
 func (d *Daemon) entryAddresses(service *config.Service) []string {
-	d.membersMu.Lock()
-	members := d.members.Members()
-	d.membersMu.Unlock()
-	chosen := entryset.Choose(service.Name, members, service.EntrySetSize)
+	chosen := entryset.Choose(service.Name, d.members.list(), service.EntrySetSize)
 	if len(chosen) == 0 {
 		return []string{d.settings.CallerAddress()}
 	}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -16,6 +16,8 @@
 const (
 	// RevisionGrows: the configuration in force never reverts to an older one.
 	RevisionGrows Name = "revision_grows"
+	// RevisionUnique: one revision is one acceptance, whatever source gave it.
+	RevisionUnique Name = "revision_unique"
 	// AnswerMatchesAttempt: an answer belongs to the attempt it is given to.
 	AnswerMatchesAttempt Name = "answer_matches_attempt"
 	// DispatchedOnce: a non-idempotent request that may have run isn't sent again.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,8 +10,13 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// dialTimeout bounds the opening of a connection to a peer.
-const dialTimeout = time.Second
+const (
+	// dialTimeout bounds the opening of a connection to a peer.
+	dialTimeout = time.Second
+	// silenceLimit is how long a connection may bring nothing before a call that
+	// times out closes it.
+	silenceLimit = 3 * time.Second
+)
 
 // CallError reports a call without a result. The peer may have carried it out
 // unless Sent is false.
@@ -32,25 +37,34 @@
 
 // Client calls peers over one connection each. It is safe for concurrent use.
 type Client struct {
-	key   []byte
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
+	key     []byte
+	traffic Traffic
+	mu      sync.Mutex
+	conns   map[string]*clientConn
+}
+
+type clientConn struct {
+	rpc    *jsonrpc2.Conn
+	frames *stream
 }
 
 // NewClient returns a client without connections.
 func NewClient(sharedKey []byte) *Client {
-	return &Client{key: sharedKey, conns: map[string]*jsonrpc2.Conn{}}
+	return &Client{key: sharedKey, conns: map[string]*clientConn{}}
 }
 
+// Traffic returns what was sent and received since the start.
+func (c *Client) Traffic() TrafficCounts { return c.traffic.Counts() }
+
 // Call calls a method at address ("ip:port") and decodes its result. The error is
 // a *CallError.
 func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
-	conn, err := c.conn(address)
+	conn, err := c.conn(ctx, address)
 	if err != nil {
 		return &CallError{Address: address, Method: method, Cause: err}
 	}
-	if err := conn.Call(ctx, method, params, result); err != nil {
-		c.dropIfClosed(address, conn)
+	if err := conn.rpc.Call(ctx, method, params, result); err != nil {
+		c.dropUnusable(ctx, address, conn)
 		return &CallError{Address: address, Method: method, Sent: true, Cause: err}
 	}
 	return nil
@@ -58,61 +72,86 @@
 
 // Notify sends a message without waiting for a result. The error is a *CallError.
 func (c *Client) Notify(ctx context.Context, address, method string, params any) error {
-	conn, err := c.conn(address)
+	conn, err := c.conn(ctx, address)
 	if err != nil {
 		return &CallError{Address: address, Method: method, Cause: err}
 	}
-	if err := conn.Notify(ctx, method, params); err != nil {
-		c.dropIfClosed(address, conn)
+	if err := conn.rpc.Notify(ctx, method, params); err != nil {
+		c.dropUnusable(ctx, address, conn)
 		return &CallError{Address: address, Method: method, Sent: true, Cause: err}
 	}
 	return nil
 }
 
-func (c *Client) conn(address string) (*jsonrpc2.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (*clientConn, error) {
 	c.mu.Lock()
 	conn := c.conns[address]
 	c.mu.Unlock()
-	if conn != nil && !disconnected(conn) {
+	if conn != nil && !conn.disconnected() {
 		return conn, nil
 	}
-	return c.dial(address)
+	return c.dial(ctx, address)
 }
 
-func disconnected(conn *jsonrpc2.Conn) bool {
+func (c *clientConn) disconnected() bool {
 	select {
-	case <-conn.DisconnectNotify():
+	case <-c.rpc.DisconnectNotify():
 		return true
 	default:
 		return false
 	}
 }
 
-func (c *Client) dial(address string) (*jsonrpc2.Conn, error) {
-	netConn, err := net.DialTimeout("tcp", address, dialTimeout)
+func (c *Client) dial(ctx context.Context, address string) (*clientConn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
+	netConn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	frames, err := newStream(netConn, c.key, true)
+	frames, err := dialStream(netConn, c.key, handshakeDeadline(ctx), &c.traffic)
 	if err != nil {
 		_ = netConn.Close()
 		return nil, err
 	}
-	conn := jsonrpc2.NewConn(context.Background(), frames, refuse{}, jsonrpc2.SetLogger(discard{}))
+	frames.lastRead.Store(time.Now().UnixNano())
+	rpc := jsonrpc2.NewConn(context.Background(), frames, refuse{}, jsonrpc2.SetLogger(discard{}))
+	return c.keep(address, &clientConn{rpc: rpc, frames: frames}), nil
+}
+
+func handshakeDeadline(ctx context.Context) time.Time {
+	limit := time.Now().Add(handshakeTimeout)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(limit) {
+		return deadline
+	}
+	return limit
+}
+
+// keep stores a new connection, unless another one was opened meanwhile.
+func (c *Client) keep(address string, conn *clientConn) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other := c.conns[address]; other != nil && !disconnected(other) {
-		_ = conn.Close()
-		return other, nil
+	if other := c.conns[address]; other != nil && !other.disconnected() {
+		_ = conn.rpc.Close()
+		return other
+	}
+	for other, old := range c.conns {
+		if old.disconnected() {
+			delete(c.conns, other)
+		}
 	}
 	c.conns[address] = conn
-	return conn, nil
+	return conn
 }
 
-func (c *Client) dropIfClosed(address string, conn *jsonrpc2.Conn) {
+// dropUnusable forgets a connection that is closed, and closes one that has been
+// silent while a call timed out.
+func (c *Client) dropUnusable(ctx context.Context, address string, conn *clientConn) {
+	if ctx.Err() != nil && conn.frames.silentSince(silenceLimit) {
+		_ = conn.rpc.Close()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conns[address] == conn && disconnected(conn) {
+	if c.conns[address] == conn && conn.disconnected() {
 		delete(c.conns, address)
 	}
 }
@@ -122,9 +161,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.conns {
-		_ = conn.Close()
+		_ = conn.rpc.Close()
 	}
-	c.conns = map[string]*jsonrpc2.Conn{}
+	c.conns = map[string]*clientConn{}
 }
 
 // refuse ignores requests that arrive on a connection this daemon dialed.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"crypto/hmac"
-	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
@@ -12,6 +11,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -20,14 +20,15 @@
 const (
 	// MaxFrameBytes bounds a message.
 	MaxFrameBytes = 2 << 20
-	// nonceBytes is the size of each side's nonce.
-	nonceBytes = 32
-	// handshakeTimeout bounds the exchange of nonces.
-	handshakeTimeout = 2 * time.Second
+	// lengthBytes is the size of a frame's length.
+	lengthBytes = 4
+	// headerBytes is the size of what precedes a frame's payload.
+	headerBytes = lengthBytes + sha256.Size
 	// writeTimeout bounds the sending of a message.
 	writeTimeout = 2 * time.Second
-	// protocol separates session keys from other uses of the shared key.
-	protocol = "poplarwheel peer 1"
+	// frameTimeout bounds the time between the first and the last byte of a
+	// frame.
+	frameTimeout = 5 * time.Second
 )
 
 // AuthenticationError reports a frame that no holder of the shared key sent in
@@ -47,11 +48,48 @@
 	return fmt.Sprintf("peer: frame has %d bytes, the limit is %d", e.Size, MaxFrameBytes)
 }
 
+// Traffic counts messages and bytes. It is safe for concurrent use.
+type Traffic struct {
+	messagesSent, messagesReceived atomic.Uint64
+	bytesSent, bytesReceived       atomic.Uint64
+}
+
+// TrafficCounts are the messages and bytes since the start, frame headers
+// included.
+type TrafficCounts struct {
+	MessagesSent     uint64 `json:"messages_sent"`
+	MessagesReceived uint64 `json:"messages_received"`
+	BytesSent        uint64 `json:"bytes_sent"`
+	BytesReceived    uint64 `json:"bytes_received"`
+}
+
+// Counts returns the counts since the start.
+func (t *Traffic) Counts() TrafficCounts {
+	return TrafficCounts{
+		MessagesSent:     t.messagesSent.Load(),
+		MessagesReceived: t.messagesReceived.Load(),
+		BytesSent:        t.bytesSent.Load(),
+		BytesReceived:    t.bytesReceived.Load(),
+	}
+}
+
+// Add returns the sum of two counts.
+func (c TrafficCounts) Add(other TrafficCounts) TrafficCounts {
+	c.MessagesSent += other.MessagesSent
+	c.MessagesReceived += other.MessagesReceived
+	c.BytesSent += other.BytesSent
+	c.BytesReceived += other.BytesReceived
+	return c
+}
+
 // stream implements jsonrpc2.ObjectStream over authenticated frames: length,
 // authentication code, JSON.
 type stream struct {
-	conn   net.Conn
-	reader *bufio.Reader
+	conn    net.Conn
+	reader  *bufio.Reader
+	traffic *Traffic
+	// lastRead is when the last frame arrived, in Unix nanoseconds.
+	lastRead atomic.Int64
 
 	readCode  codec
 	writeMu   sync.Mutex
@@ -83,42 +121,30 @@
 	return c.mac.Sum(nil)
 }
 
-// newStream exchanges nonces over conn.
-func newStream(conn net.Conn, sharedKey []byte, dialer bool) (*stream, error) {
-	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return nil, err
-	}
-	var own, other [nonceBytes]byte
-	if _, err := rand.Read(own[:]); err != nil {
-		return nil, err
-	}
-	if _, err := conn.Write(own[:]); err != nil {
-		return nil, err
-	}
-	reader := bufio.NewReader(conn)
-	if _, err := io.ReadFull(reader, other[:]); err != nil {
-		return nil, err
+// seal returns the frame that carries payload.
+func (c *codec) seal(payload []byte) []byte {
+	frame := make([]byte, lengthBytes, headerBytes+len(payload))
+	binary.BigEndian.PutUint32(frame, uint32(len(payload)))
+	frame = append(frame, c.sum(payload)...)
+	return append(frame, payload...)
+}
+
+// open reads a frame and returns its payload; authentic is false for a frame
+// that wasn't sealed by the other side.
+func (c *codec) open(reader io.Reader) (payload []byte, authentic bool, err error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return nil, false, err
 	}
-	if err := conn.SetDeadline(time.Time{}); err != nil {
-		return nil, err
+	size := binary.BigEndian.Uint32(header[:lengthBytes])
+	if size > MaxFrameBytes {
+		return nil, false, &FrameSizeError{Size: size}
 	}
-	s := &stream{conn: conn, reader: reader}
-	if dialer {
-		key := sessionKey(sharedKey, own[:], other[:])
-		s.writeCode, s.readCode = newCodec(key, "dialer"), newCodec(key, "listener")
-	} else {
-		key := sessionKey(sharedKey, other[:], own[:])
-		s.writeCode, s.readCode = newCodec(key, "listener"), newCodec(key, "dialer")
+	payload = make([]byte, size)
+	if _, err := io.ReadFull(reader, payload); err != nil {
+		return nil, false, err
 	}
-	return s, nil
-}
-
-func sessionKey(sharedKey, dialerNonce, listenerNonce []byte) []byte {
-	mac := hmac.New(sha256.New, sharedKey)
-	mac.Write([]byte(protocol))
-	mac.Write(dialerNonce)
-	mac.Write(listenerNonce)
-	return mac.Sum(nil)
+	return payload, hmac.Equal(header[lengthBytes:], c.sum(payload)), nil
 }
 
 // WriteObject implements jsonrpc2.ObjectStream.
@@ -132,37 +158,63 @@
 	}
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
-	frame := make([]byte, 4, 4+sha256.Size+len(payload))
-	binary.BigEndian.PutUint32(frame, uint32(len(payload)))
-	frame = append(frame, s.writeCode.sum(payload)...)
-	frame = append(frame, payload...)
+	frame := s.writeCode.seal(payload)
 	if err := s.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err = s.conn.Write(frame)
-	return err
+	s.traffic.messagesSent.Add(1)
+	s.traffic.bytesSent.Add(uint64(len(frame)))
+	if _, err := s.conn.Write(frame); err != nil {
+		// A frame that was sent in part leaves the stream unusable.
+		_ = s.conn.Close()
+		return err
+	}
+	return nil
 }
 
-// ReadObject implements jsonrpc2.ObjectStream. A frame that isn't authentic ends
-// the stream.
+// ReadObject implements jsonrpc2.ObjectStream. A frame that isn't authentic, or
+// that takes too long, ends the stream.
 func (s *stream) ReadObject(object any) error {
-	var head [4 + sha256.Size]byte
-	if _, err := io.ReadFull(s.reader, head[:]); err != nil {
+	if _, err := s.reader.Peek(1); err != nil {
 		return err
 	}
-	size := binary.BigEndian.Uint32(head[:4])
-	if size > MaxFrameBytes {
-		return &FrameSizeError{Size: size}
+	if err := s.conn.SetReadDeadline(time.Now().Add(frameTimeout)); err != nil {
+		return err
 	}
-	payload := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, payload); err != nil {
+	payload, authentic, err := s.readCode.open(s.reader)
+	if err != nil {
 		return err
 	}
-	if !hmac.Equal(head[4:], s.readCode.sum(payload)) {
-		return &AuthenticationError{Remote: s.conn.RemoteAddr().String()}
+	if !authentic {
+		return s.notAuthentic()
+	}
+	s.lastRead.Store(time.Now().UnixNano())
+	s.traffic.messagesReceived.Add(1)
+	s.traffic.bytesReceived.Add(uint64(headerBytes + len(payload)))
+	if err := s.conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
 	}
 	return json.Unmarshal(payload, object)
 }
 
+// silentSince reports whether no frame has arrived since limit ago.
+func (s *stream) silentSince(limit time.Duration) bool {
+	return time.Since(time.Unix(0, s.lastRead.Load())) > limit
+}
+
 // Close implements jsonrpc2.ObjectStream.
 func (s *stream) Close() error { return s.conn.Close() }
+
+// keepAlive finds connections whose other side is gone without a word.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     5 * time.Second,
+	Interval: 2 * time.Second,
+	Count:    3,
+}
+
+func setKeepAlive(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(keepAlive)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -34,6 +34,12 @@
 	// PeerKey is the key that all entry daemons share. It authenticates the inner
 	// protocol.
 	PeerKey string `json:"peer_key" validate:"required,min=16,max=256"`
+	// PeerKeyAlso is accepted from other entry daemons besides PeerKey, while the
+	// key is replaced. Optional.
+	PeerKeyAlso string `json:"peer_key_also" validate:"omitempty,min=16,max=256"`
+	// Peers are IPs of other entry VMs, asked for members and configuration while
+	// the platform is unavailable at start. Optional.
+	Peers []string `json:"peers" validate:"max=64,dive,ip"`
 	// EventLoops is the number of event loops that serve callers. Default 2.
 	EventLoops int `json:"event_loops" validate:"min=1,max=64"`
 	// KeepSeconds is how long callers keep the list of entry VMs, in seconds.
@@ -83,6 +89,9 @@
 
 func (s *Settings) address(port int) string { return net.JoinHostPort(s.IP, strconv.Itoa(port)) }
 
+// Keep returns KeepSeconds as a duration.
+func (s *Settings) Keep() time.Duration { return time.Duration(s.KeepSeconds) * time.Second }
+
 // PlatformTimeout returns PlatformTimeoutMs as a duration.
 func (s *Settings) PlatformTimeout() time.Duration {
 	return time.Duration(s.PlatformTimeoutMs) * time.Millisecond
--- a/internal/standin/platformd/faults_test.go
+++ b/internal/standin/platformd/faults_test.go
@@ -20,10 +20,7 @@
 	require.NoError(t, err)
 	server := NewServer()
 	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() {
-		server.SetFaults(Faults{})
-		_ = server.Close()
-	})
+	t.Cleanup(func() { _ = server.Close() })
 	return server, platform.NewClient(listener.Addr().String(), testTimeout)
 }
 
--- a/internal/standin/platformd/server.go
+++ b/internal/standin/platformd/server.go
@@ -35,7 +35,7 @@
 func NewServer() *Server {
 	s := &Server{store: NewStore()}
 	s.faults.Store(newFaultState(Faults{}, time.Now()))
-	s.http = &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 2 * platform.MaxValueBytes, NoDefaultServerHeader: true}
+	s.http = &fasthttp.Server{Handler: s.handle, MaxRequestBodySize: 2 * platform.MaxValueBytes, NoDefaultServerHeader: true, Logger: quiet{}}
 	return s
 }
 
@@ -55,8 +55,12 @@
 // Serve accepts connections until Close.
 func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
-// Close stops the server.
-func (s *Server) Close() error { return s.http.Shutdown() }
+// Close stops the server. It may be called once.
+func (s *Server) Close() error {
+	s.SetFaults(Faults{})
+	s.store.Close()
+	return s.http.Shutdown()
+}
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
@@ -95,6 +99,9 @@
 		if wait == 0 || !faults.watchFault(ctx) {
 			s.vms(ctx)
 		}
+	case isObject && wait == 0 && ctx.QueryArgs().Has(platform.ArgAfter):
+		s.counts.reads.Add(1)
+		s.watch(ctx, key)
 	case !isObject || key == "":
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	case ctx.QueryArgs().Has(platform.ArgAfter):
@@ -252,3 +259,9 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
+
+// quiet drops the log of the HTTP library, which reports every imitated fault.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
--- a/internal/standin/platformd/store.go
+++ b/internal/standin/platformd/store.go
@@ -15,6 +15,7 @@
 	version platform.Version
 	objects map[string]platform.Object
 	changed chan struct{}
+	closed  chan struct{}
 	list    vmList
 }
 
@@ -23,9 +24,13 @@
 	return &Store{
 		objects: map[string]platform.Object{},
 		changed: make(chan struct{}),
+		closed:  make(chan struct{}),
 	}
 }
 
+// Close ends all waits, present and future. It may be called once.
+func (s *Store) Close() { close(s.closed) }
+
 // Get returns an object. The error is a *platform.NotFoundError.
 func (s *Store) Get(key string) (platform.Object, error) {
 	s.mu.Lock()
@@ -100,6 +105,15 @@
 		case <-changed:
 		case <-timeout.C:
 			return false
+		case <-s.closed:
+			return false
 		}
 	}
 }
+
+// Len returns the number of objects.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects)
+}
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
+	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/internal/standin/platformd"
@@ -156,17 +157,28 @@
 }
 
 // waitRevision waits until every entry daemon has applied a revision and sees
-// every entry VM.
+// every entry VM live.
 func (f *fleet) waitRevision(t *testing.T, revision uint64) {
 	t.Helper()
 	for i := range f.entries {
 		require.Eventually(t, func() bool {
 			dump, ok := f.dump(i)
-			return ok && dump.Revision >= revision && len(dump.Members) == len(f.entries)
+			return ok && dump.Revision >= revision && live(dump) == len(f.entries)
 		}, settleTimeout, 20*time.Millisecond)
 	}
 }
 
+// live counts the entry VMs that a daemon takes to be live.
+func live(dump daemon.Dump) int {
+	count := 0
+	for _, member := range dump.Members {
+		if member.State == membership.Live {
+			count++
+		}
+	}
+	return count
+}
+
 func (f *fleet) dump(i int) (daemon.Dump, bool) {
 	var dump daemon.Dump
 	url := "http://" + net.JoinHostPort(f.entries[i], adminPort) + daemon.PathDump
