--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -98,9 +98,9 @@
 		return
 	}
 	buffer := e.serialize(response)
-	err := e.conn.AsyncWrite(buffer.B, func(conn gnet.Conn, _ error) error {
+	err := e.conn.AsyncWrite(buffer.B, func(conn gnet.Conn, err error) error {
 		bytebufferpool.Put(buffer)
-		return e.server.written(conn, e)
+		return e.server.written(conn, e, err)
 	})
 	if err != nil {
 		e.server.inFlight.Add(-1)
@@ -114,15 +114,17 @@
 		return
 	}
 	buffer := e.serialize(response)
+	err := net.ErrClosed
 	if e.state.open {
-		_, _ = e.conn.Write(buffer.B)
+		_, err = e.conn.Write(buffer.B)
 	}
 	bytebufferpool.Put(buffer)
-	_ = e.server.written(e.conn, e)
+	_ = e.server.written(e.conn, e, err)
 }
 
 func (e *Exchange) serialize(response *fasthttp.Response) *bytebufferpool.ByteBuffer {
-	if e.close {
+	if e.close || e.server.draining.Load() {
+		e.close = true
 		response.SetConnectionClose()
 	}
 	buffer := bytebufferpool.Get()
@@ -139,10 +141,24 @@
 	// waitingSince is when the current wait for the caller began, in Unix
 	// nanoseconds; 0 while a request is served.
 	waitingSince atomic.Int64
-	// partial is set while a request has arrived in part.
-	partial atomic.Bool
+	// phase is one of the phase constants.
+	phase atomic.Int32
 }
 
+// Phases of a connection.
+const (
+	// phaseIdle waits for a request.
+	phaseIdle int32 = iota
+	// phasePartial has received a request in part.
+	phasePartial
+	// phaseServing waits for the handler's answer.
+	phaseServing
+	// phaseFlushing sends the rest of an answer.
+	phaseFlushing
+	// phaseClosing waits for the caller to close.
+	phaseClosing
+)
+
 // Server accepts callers.
 type Server struct {
 	gnet.BuiltinEventEngine
@@ -152,6 +168,7 @@
 	engine   gnet.Engine
 	started  chan struct{}
 	inFlight atomic.Int64
+	draining atomic.Bool
 	conns    sync.Map
 }
 
@@ -220,8 +237,13 @@
 	s.conns.Delete(conn)
 	state := conn.Context().(*connState)
 	state.open = false
-	if exchange := state.exchange; exchange != nil {
-		state.exchange = nil
+	exchange := state.exchange
+	state.exchange = nil
+	switch {
+	case exchange == nil:
+	case state.phase.Load() == phaseFlushing:
+		s.inFlight.Add(-1)
+	default:
 		exchange.callerGone()
 	}
 	return gnet.None
@@ -233,6 +255,13 @@
 		return enrolled.Traffic(conn)
 	}
 	state := conn.Context().(*connState)
+	switch state.phase.Load() {
+	case phaseClosing:
+		_ = s.closeGracefully(conn, state)
+		return gnet.None
+	case phaseFlushing:
+		_ = s.flush(conn, state)
+	}
 	if state.exchange != nil {
 		if conn.InboundBuffered() > s.limits.HeaderBytes+s.limits.BodyBytes {
 			return gnet.Close
@@ -245,7 +274,7 @@
 	}
 	request, size, err := parse(buffered, s.limits)
 	if err != nil {
-		return s.reject(conn, err)
+		return s.reject(conn, state, err)
 	}
 	if request == nil {
 		s.awaitRest(state)
@@ -257,13 +286,13 @@
 }
 
 func (s *Server) awaitRest(state *connState) {
-	if !state.partial.Swap(true) {
+	if state.phase.Swap(phasePartial) != phasePartial {
 		state.waitingSince.Store(time.Now().UnixNano())
 	}
 }
 
 func (s *Server) serve(conn gnet.Conn, state *connState, request *fasthttp.Request) {
-	state.partial.Store(false)
+	state.phase.Store(phaseServing)
 	state.waitingSince.Store(0)
 	exchange := &Exchange{server: s, conn: conn, loop: conn.EventLoop(), state: state, close: request.Header.ConnectionClose()}
 	state.exchange = exchange
@@ -271,23 +300,6 @@
 	s.handler.Serve(request, exchange)
 }
 
-// written runs on the event loop once an answer is in the connection's buffer.
-func (s *Server) written(conn gnet.Conn, exchange *Exchange) error {
-	s.inFlight.Add(-1)
-	exchange.state.exchange = nil
-	exchange.state.waitingSince.Store(time.Now().UnixNano())
-	if !exchange.state.open {
-		return nil
-	}
-	if exchange.close {
-		return conn.Close()
-	}
-	if conn.InboundBuffered() > 0 {
-		return conn.Wake(nil)
-	}
-	return nil
-}
-
 // OnTick implements gnet.EventHandler: it closes connections of callers that
 // take too long.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
@@ -307,14 +319,19 @@
 		return false
 	}
 	limit := s.limits.IdleTimeout
-	if state.partial.Load() {
+	switch state.phase.Load() {
+	case phasePartial:
 		limit = s.limits.SendTimeout
+	case phaseFlushing:
+		limit = flushLimit
+	case phaseClosing:
+		limit = lingerLimit
 	}
 	return now.Sub(time.Unix(0, since)) > limit
 }
 
 // reject answers a request that can't be parsed and closes the connection.
-func (s *Server) reject(conn gnet.Conn, err error) gnet.Action {
+func (s *Server) reject(conn gnet.Conn, state *connState, err error) gnet.Action {
 	var parseErr *ParseError
 	if !errors.As(err, &parseErr) {
 		return gnet.Close
@@ -326,7 +343,8 @@
 	})
 	response.SetConnectionClose()
 	_, _ = conn.Write([]byte(response.String()))
-	return gnet.Close
+	_ = s.closeGracefully(conn, state)
+	return gnet.None
 }
 
 // ErrorResponse returns an answer that the entry daemon makes itself.
--- a/internal/cli/propose.go
+++ b/internal/cli/propose.go
@@ -48,12 +48,7 @@
 	if err != nil {
 		return &InputError{Path: c.answers, Cause: err}
 	}
-	store := platform.NewClient(c.platform, platformTimeout)
-	head, _, err := rollout.ReadHead(store)
-	if err != nil {
-		return err
-	}
-	inForce, err := rollout.Load(store, head, rollout.NewApplied())
+	inForce, err := rollout.Read(platform.NewClient(c.platform, platformTimeout))
 	if err != nil {
 		return err
 	}
--- a/internal/probe/budget_test.go
+++ b/internal/probe/budget_test.go
@@ -12,7 +12,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
-	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
 // vm is an entry VM of a simulated fleet. Its budget is lost with each restart.
@@ -132,8 +131,7 @@
 // probeUntil is one entry VM: it probes, restarts and freezes until ctx is done.
 func probeUntil(ctx context.Context, address string, budget float64, limit, number int) {
 	rng := rand.New(rand.NewPCG(uint64(number), 5))
-	client := targetclient.New()
-	defer client.Close()
+	client := NewClient()
 	var own Budget
 	for ctx.Err() == nil {
 		if rng.IntN(500) == 0 {
@@ -148,7 +146,7 @@
 		if rng.IntN(10) == 0 {
 			time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
 		}
-		_, _, _ = Fetch(client, address)
+		_, _, _ = client.Fetch(address)
 		own.Done(time.Now(), ticket)
 	}
 }
--- a/internal/standin/platformd/store.go
+++ b/internal/standin/platformd/store.go
@@ -14,20 +14,23 @@
 	mu      sync.Mutex
 	version platform.Version
 	objects map[string]platform.Object
-	vms     map[string]platform.VM
 	changed chan struct{}
-	vmsAt   platform.Version
+	closed  chan struct{}
+	list    vmList
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
 		objects: map[string]platform.Object{},
-		vms:     map[string]platform.VM{},
 		changed: make(chan struct{}),
+		closed:  make(chan struct{}),
 	}
 }
 
+// Close ends all waits, present and future. It may be called once.
+func (s *Store) Close() { close(s.closed) }
+
 // Get returns an object. The error is a *platform.NotFoundError.
 func (s *Store) Get(key string) (platform.Object, error) {
 	s.mu.Lock()
@@ -79,39 +82,6 @@
 	return object, ok
 }
 
-// SetVM adds or replaces a VM in the list.
-func (s *Store) SetVM(vm platform.VM) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.vms[vm.Name] = vm
-	s.vmsAt = s.advance()
-}
-
-// RemoveVM removes a VM from the list.
-func (s *Store) RemoveVM(name string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.vms, name)
-	s.vmsAt = s.advance()
-}
-
-// VMs waits until the list's version is above after, for wait at most. The
-// result is false on timeout.
-func (s *Store) VMs(after platform.Version, wait time.Duration) (platform.VMList, bool) {
-	var list platform.VMList
-	ok := s.await(wait, func() bool {
-		if s.vmsAt <= after {
-			return false
-		}
-		list.Version = s.vmsAt
-		for _, vm := range s.vms {
-			list.VMs = append(list.VMs, vm)
-		}
-		return true
-	})
-	return list, ok
-}
-
 func (s *Store) advance() platform.Version {
 	s.version++
 	close(s.changed)
@@ -135,6 +105,15 @@
 		case <-changed:
 		case <-timeout.C:
 			return false
+		case <-s.closed:
+			return false
 		}
 	}
 }
+
+// Len returns the number of objects.
+func (s *Store) Len() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects)
+}
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -113,7 +113,8 @@
 			if link == "" || strings.Contains(link, "://") {
 				continue
 			}
-			require.FileExists(t, filepath.Join(filepath.Dir(path), link), "link in %s", path)
+			_, err := os.Stat(filepath.Join(filepath.Dir(path), link))
+			require.NoError(t, err, "link in %s", path)
 		}
 		return nil
 	})
