Add the randomised run of the whole system

Cause: what must always hold was tested one failure at a time. Ruled out: checks inside the daemons alone (a daemon can't see that another one ran a booking too); journals in the targets' memory (a kill loses them). Change: test/soak starts entry daemons, targets and the platform stand-in as processes, runs callers, operators and a seeded schedule of failures, and checks the targets' journals and the callers' records.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,17 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-.PHONY: bench-policy bench-policy-full
+SEED ?= 1
+DURATION ?= 60s
+
+.PHONY: soak bench bench-policy bench-policy-full
+
+# Random failures against separate processes; SEED and DURATION choose the run.
+soak: build
+	$(GO) run ./test/soak -seed $(SEED) -duration $(DURATION)
+
+bench: build
+	$(GO) run ./bench/latency
 
 bench-policy:
 	$(GO) run ./bench/policy
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -54,11 +55,12 @@
 
 // standinTargetCommand runs a target stand-in.
 type standinTargetCommand struct {
-	listen string
-	name   string
-	slots  int
-	meanMs float64
-	seed   int
+	listen  string
+	name    string
+	slots   int
+	meanMs  float64
+	seed    int
+	journal string
 }
 
 func (c *standinTargetCommand) subcommand() *flaggy.Subcommand {
@@ -73,6 +75,7 @@
 	sub.Int(&c.slots, "", "slots", "requests run at once")
 	sub.Float64(&c.meanMs, "", "mean-ms", "mean service time in milliseconds")
 	sub.Int(&c.seed, "", "seed", "seed of the service times")
+	sub.String(&c.journal, "", "journal", "file that a line of JSON is added to for each event")
 	return sub
 }
 
@@ -80,10 +83,23 @@
 	if err := requireFlags(requirement{"listen", c.listen}, requirement{"name", c.name}); err != nil {
 		return err
 	}
-	return serveUntilInterrupted(c.listen, targetd.New(targetd.Options{
+	options := targetd.Options{
 		Name:        c.name,
 		Slots:       c.slots,
 		MeanService: time.Duration(c.meanMs * float64(time.Millisecond)),
 		Seed:        uint64(c.seed),
-	}))
+		Exit:        func() { os.Exit(ExitFailure) },
+	}
+	if c.journal != "" {
+		file, err := os.OpenFile(c.journal, os.O_CREATE|os.O_APPEND|os.O_WRONLY, journalMode)
+		if err != nil {
+			return &UsageError{Cause: err}
+		}
+		defer func() { _ = file.Close() }()
+		options.Journal = file
+	}
+	return serveUntilInterrupted(c.listen, targetd.New(options))
 }
+
+// journalMode is the mode of a new journal file.
+const journalMode = 0o600
--- a/internal/standin/targetd/conn.go
+++ b/internal/standin/targetd/conn.go
@@ -75,6 +75,7 @@
 		response.SetStatusCode(t.health())
 	case wire.PathLoad:
 		t.probes.Add(1)
+		t.note(EventProbed, &Run{})
 		setJSON(response, t.load(time.Now()))
 	case PathJournal:
 		setJSON(response, t.Journal())
@@ -117,6 +118,7 @@
 		<-closed
 		return false
 	case faults.Leaving:
+		t.note(EventRefused, newRun(request, time.Now()))
 		response.Header.Set(wire.HeaderState, wire.StateLeaving)
 		refuse(response)
 		return true
@@ -154,12 +156,7 @@
 
 func (t *Target) run(request *fasthttp.Request, response *fasthttp.Response, closed <-chan struct{}) bool {
 	now := time.Now()
-	run := &Run{
-		Key:       string(request.Header.Peek(wire.HeaderIdempotencyKey)),
-		AttemptID: string(request.Header.Peek(wire.HeaderAttemptID)),
-		Path:      string(request.URI().Path()),
-		Started:   now,
-	}
+	run := newRun(request, now)
 	t.begin(run)
 	if string(request.Header.Peek(HeaderCrash)) == wire.True {
 		t.end(run, false, true)
@@ -179,6 +176,15 @@
 	return true
 }
 
+func newRun(request *fasthttp.Request, now time.Time) *Run {
+	return &Run{
+		Key:       string(request.Header.Peek(wire.HeaderIdempotencyKey)),
+		AttemptID: string(request.Header.Peek(wire.HeaderAttemptID)),
+		Path:      string(request.URI().Path()),
+		Started:   now,
+	}
+}
+
 func (t *Target) answer(request *fasthttp.Request, response *fasthttp.Response, run *Run) {
 	report := t.load(time.Now())
 	response.Header.Set(wire.HeaderInFlight, strconv.Itoa(report.InFlight))
--- a/internal/standin/targetd/options.go
+++ b/internal/standin/targetd/options.go
@@ -1,6 +1,9 @@
 package targetd
 
-import "time"
+import (
+	"io"
+	"time"
+)
 
 // Options configure a target. They are fixed at its start; Faults change later.
 type Options struct {
@@ -22,6 +25,9 @@
 	ReportLag time.Duration
 	// Seed seeds the service times and the noise.
 	Seed uint64
+	// Journal takes a line of JSON for each Event as it happens, so that it
+	// outlives the process. nil keeps none.
+	Journal io.Writer
 	// Exit ends the process on a crash. In-process targets leave it nil and
 	// close their connections and listener instead.
 	Exit func()
--- a/internal/standin/targetd/target.go
+++ b/internal/standin/targetd/target.go
@@ -28,6 +28,8 @@
 	checks      atomic.Uint64
 	connections atomic.Uint64
 
+	journalMu sync.Mutex
+
 	mu       sync.Mutex
 	rng      *rand.Rand
 	speed    *speed
@@ -150,6 +152,7 @@
 }
 
 func (t *Target) begin(run *Run) {
+	t.note(EventBegan, run)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.journal = append(t.journal, run)
@@ -157,6 +160,9 @@
 
 // end records the end of a run.
 func (t *Target) end(run *Run, canceled, crashed bool) {
+	if !canceled && !crashed {
+		t.note(EventFinished, run)
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	run.Finished = time.Now()
--- a/test/fleet/processes.go
+++ b/test/fleet/processes.go
@@ -6,6 +6,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -21,6 +22,8 @@
 type process struct {
 	command *exec.Cmd
 	exited  chan struct{}
+	// killed is set before the process is ended from here.
+	killed atomic.Bool
 }
 
 // UnknownProcessError reports a name without a running process.
@@ -107,6 +110,7 @@
 	if err != nil {
 		return err
 	}
+	found.killed.Store(true)
 	_ = found.command.Process.Kill()
 	<-found.exited
 	return nil
@@ -122,7 +126,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, started := range p.running {
+		started.killed.Store(true)
 		_ = started.command.Process.Kill()
 		<-started.exited
 	}
 }
+
+// Exited reports whether a process has exited on its own. One that Kill or Close
+// has ended doesn't count.
+func (p *processes) Exited(name string) bool {
+	found, err := p.find(name)
+	if err != nil {
+		return false
+	}
+	select {
+	case <-found.exited:
+		return !found.killed.Load()
+	default:
+		return false
+	}
+}
