--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 
@@ -21,11 +20,6 @@
 	reasonUnknownService = "unknown_service"
 	reasonUnknownType    = "unknown_type"
 	reasonBadHeader      = "bad_header"
-	reasonKeyRequired    = "idempotency_key_required"
-	reasonBadKey         = "bad_idempotency_key"
-	reasonKeyReused      = "idempotency_key_reused"
-	reasonNotOwner       = "not_owner"
-	reasonResult         = "result_lost"
 )
 
 // lateAnswerLimit is how long after its deadline a non-idempotent attempt may
@@ -53,7 +47,7 @@
 		c.start(exchange.Loop())
 		return
 	}
-	p.table.Begin(now, *c.key, fingerprint(request), c.decided)
+	c.beginOnce(now)
 }
 
 // problem is a refusal of a request before any attempt.
@@ -95,22 +89,6 @@
 	return c, c.parseKey()
 }
 
-func (c *call) parseKey() *problem {
-	text := string(c.request.Header.Peek(wire.HeaderIdempotencyKey))
-	if c.decision.Type.Idempotent {
-		return nil
-	}
-	if text == "" {
-		return refusal(fasthttp.StatusBadRequest, reasonKeyRequired, "this request type needs the header "+wire.HeaderIdempotencyKey)
-	}
-	key, err := idempotency.ParseKey(text)
-	if err != nil {
-		return refusal(fasthttp.StatusBadRequest, reasonBadKey, err.Error())
-	}
-	c.key = &key
-	return nil
-}
-
 func (s *shard) requestType(name string) *config.RequestType {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -151,36 +129,6 @@
 // Unwrap returns the cause.
 func (e *BadHeaderError) Unwrap() error { return e.Cause }
 
-// fingerprint identifies the content of a request.
-func fingerprint(request *fasthttp.Request) uint64 {
-	digest := xxhash.New()
-	for _, part := range [][]byte{
-		request.Header.Method(),
-		request.Header.RequestURI(),
-		request.Header.Peek(wire.HeaderService),
-		request.Header.Peek(wire.HeaderType),
-		request.Body(),
-	} {
-		_, _ = digest.Write(part)
-		_, _ = digest.Write([]byte{0})
-	}
-	return digest.Sum64()
-}
-
-// decided continues a non-idempotent call.
-func (c *call) decided(decision idempotency.Decision) {
-	switch decision.Verdict {
-	case idempotency.Run:
-		c.start(nil)
-	case idempotency.Replay:
-		c.replay(decision.Outcome)
-	case idempotency.Mismatch:
-		c.reply(fasthttp.StatusUnprocessableEntity, wire.OutcomeUnknown, reasonKeyReused)
-	default:
-		c.reply(fasthttp.StatusServiceUnavailable, wire.OutcomeUnknown, reasonNotOwner)
-	}
-}
-
 // start passes the call to the scheduler. Current is the event loop that the
 // caller runs on, or nil.
 func (c *call) start(current gnet.EventLoop) {
@@ -197,22 +145,6 @@
 	})
 }
 
-func (c *call) replay(outcome idempotency.Outcome) {
-	switch outcome.Status {
-	case idempotency.Ran:
-		response := &fasthttp.Response{}
-		response.SetStatusCode(outcome.Answer.StatusCode)
-		response.Header.SetContentType(outcome.Answer.ContentType)
-		response.Header.Set(wire.HeaderOutcome, wire.OutcomeRan)
-		response.SetBody(outcome.Answer.Body)
-		c.exchange.Reply(response)
-	case idempotency.NeverRan:
-		c.reply(fasthttp.StatusServiceUnavailable, wire.OutcomeNotRun, string(dispatch.ReasonUnavailable))
-	default:
-		c.reply(fasthttp.StatusGatewayTimeout, wire.OutcomeUnknown, reasonResult)
-	}
-}
-
 // onLoop runs f on the call's event loop: at once if that is the current one.
 func (c *call) onLoop(current gnet.EventLoop, f func()) {
 	loop := c.exchange.Loop()
@@ -264,26 +196,6 @@
 	c.exchange.Reply(response)
 }
 
-func (c *call) recordAnswer(response *fasthttp.Response) {
-	if c.key != nil {
-		c.record(idempotency.Outcome{Status: idempotency.Ran, Answer: answerOf(response)})
-	}
-}
-
-func (c *call) record(outcome idempotency.Outcome) {
-	if c.key != nil {
-		c.shard.proxy.table.Finish(time.Now(), *c.key, outcome)
-	}
-}
-
 func (c *call) reply(status int, outcome, reason string) {
 	c.exchange.Reply(callerserver.ErrorResponse(status, wire.ErrorReply{Outcome: outcome, Reason: reason}))
 }
-
-func answerOf(response *fasthttp.Response) *idempotency.Answer {
-	return &idempotency.Answer{
-		StatusCode:  response.StatusCode(),
-		ContentType: string(response.Header.ContentType()),
-		Body:        append([]byte(nil), response.Body()...),
-	}
-}
