Record keys on the platform and pass calls on to their home

Until now a key was protected by the memory of one incarnation and any other daemon answered "unknown". A recorded token names a record object on the platform; a key is dispatched only by the daemon whose conditional update added it. A call whose key names another daemon is passed on to it, as a caller's request on its caller port, and for recorded keys this daemon turns to the record itself if that daemon doesn't answer.

Keys of unrecorded tokens are now forgotten only after their token has expired; before, a resend after ten minutes ran again.

"Not run" is fenced: an outcome carries the number of the highest send that is answered so, and only a higher one may be dispatched. A daemon that can't take a request at all says "unknown" on a resend.

internal/proxy tests: the keys of two tests were spelled in the old token format; they now come from the daemon under test.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/proxy"
 )
@@ -29,6 +30,8 @@
 	Members     []membership.Member `json:"members"`
 	Targets     []proxy.TargetState `json:"targets"`
 	Measuring   proxy.Measuring     `json:"measuring"`
+
+	Records idempotency.RecorderState `json:"records"`
 }
 
 func (d *Daemon) serveAdmin(ctx *fasthttp.RequestCtx) {
@@ -59,6 +62,7 @@
 		Members:     members,
 		Targets:     d.proxy.Targets(),
 		Measuring:   d.proxy.Measuring(),
+		Records:     d.once.recorder.State(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/entryset"
-	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
@@ -52,7 +51,7 @@
 	peers       *peer.Server
 	peerClient  *peer.Client
 	snapshot    atomic.Pointer[config.Snapshot]
-	sessions    atomic.Uint64
+	once        once
 	started     time.Time
 	stop        chan struct{}
 
@@ -72,8 +71,8 @@
 		stop:        make(chan struct{}),
 	}
 	d.snapshot.Store(config.Empty())
-	table := idempotency.NewTable(d.incarnation)
-	d.proxy = proxy.New(d.incarnation, table, d.log)
+	d.once = d.newOnce()
+	d.proxy = proxy.New(d.incarnation, d.once.guard, d.log)
 	d.follower = rollout.NewFollower(d.store, d.log, d.apply)
 	limits := callerserver.Limits{
 		HeaderBytes: s.MaxHeaderBytes,
@@ -84,12 +83,14 @@
 	d.callers = callerserver.New(d, limits, d.log)
 	d.peers = peer.NewServer([]byte(s.PeerKey), d.log)
 	d.peerClient = peer.NewClient([]byte(s.PeerKey))
+	d.startOnce()
 	d.admin = &fasthttp.Server{Handler: d.serveAdmin, NoDefaultServerHeader: true}
 	return d
 }
 
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	d.proxy.Apply(snapshot)
+	d.applyOnce(snapshot)
 	d.snapshot.Store(snapshot)
 }
 
@@ -111,6 +112,7 @@
 	go d.follower.Run()
 	go d.followVMs()
 	go d.sweep()
+	go d.once.recorder.Run(d.stop)
 	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
@@ -123,6 +125,7 @@
 
 func (d *Daemon) shutdown() {
 	d.drain()
+	d.once.recorder.Drain(recordDrainLimit)
 	close(d.stop)
 	d.follower.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
@@ -196,6 +199,7 @@
 	defer d.membersMu.Unlock()
 	d.members.Listed(vms)
 	d.proxy.SetEntryVMs(len(d.members.Members()))
+	d.once.rates.SetDaemons(len(d.members.Members()))
 }
 
 // Serve implements callerserver.Handler.
@@ -217,11 +221,7 @@
 			Detail:  "no configured service has this name",
 		})
 	}
-	token := idempotency.Token{
-		Kind:        idempotency.Unrecorded,
-		Incarnation: d.incarnation,
-		Session:     strconv.FormatUint(d.sessions.Add(1), 36),
-	}
+	token := d.once.guard.Token(time.Now(), recorded(service))
 	response := &fasthttp.Response{}
 	callerserver.SetJSON(response, wire.EntriesReply{
 		Service:      name,
--- a/internal/idempotency/memory.go
+++ b/internal/idempotency/memory.go
@@ -5,75 +5,38 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-)
-
-// Status is the state of a key.
-type Status int
-
-// States of keys.
-const (
-	// Running means that an attempt may be under way.
-	Running Status = iota
-	// Ran means that the answer is known.
-	Ran
-	// Unsure means that the request may have run and its answer is lost.
-	Unsure
-	// NeverRan means that no attempt has begun.
-	NeverRan
-)
-
-// Answer is a target's answer, kept for resends.
-type Answer struct {
-	StatusCode  int
-	ContentType string
-	Body        []byte
-}
-
-// Outcome is the end of a request.
-type Outcome struct {
-	Status Status
-	// Answer is set with status Ran.
-	Answer *Answer
-}
 
-// Verdict says what to do with a request.
-type Verdict int
-
-// Verdicts.
-const (
-	// Run means that the caller of Begin dispatches the request and calls Finish.
-	Run Verdict = iota
-	// Replay means that Outcome is the end of an earlier send.
-	Replay
-	// Mismatch means that the key was used for another request.
-	Mismatch
-	// NotOwner means that another daemon decides about the key.
-	NotOwner
+	"github.com/poplarwheel/poplarwheel/internal/invariant"
 )
 
-// Decision is the result of Begin.
-type Decision struct {
-	Verdict Verdict
-	Outcome Outcome
-}
-
 const (
 	// shardCount is the number of separately locked parts of a table.
 	shardCount = 16
-	// retention is how long the outcome of a key is kept.
-	retention = 10 * time.Minute
+	// maxShardAnswerBytes bounds the answers kept by a shard.
+	maxShardAnswerBytes = 512 << 10
+	// maxShardKeys bounds the keys kept by a shard.
+	maxShardKeys = 8192
+	// maxAnswerBytes bounds an answer kept in memory.
+	maxAnswerBytes = 64 << 10
 )
 
-// Table keeps the keys of one incarnation. It is safe for concurrent use.
+// Table keeps the unrecorded keys of one incarnation. It is safe for concurrent
+// use.
+//
+// A key is forgotten only after its token has expired, and keys of expired
+// tokens are not run.
 type Table struct {
-	incarnation string
-	shards      [shardCount]tableShard
+	self    Owner
+	started time.Time
+	shards  [shardCount]tableShard
 }
 
 type tableShard struct {
-	mu      sync.Mutex
-	records map[string]*record
-	expiry  []expiring
+	mu          sync.Mutex
+	rows        map[string]*row
+	expiry      []expiring
+	answers     []*row
+	answerBytes int
 }
 
 type expiring struct {
@@ -81,87 +44,158 @@
 	at  time.Time
 }
 
-type record struct {
+type row struct {
 	fingerprint uint64
+	number      int
 	outcome     Outcome
-	waiters     []func(Decision)
+	waiters     []*Send
 }
 
 // NewTable returns an empty table for one incarnation.
-func NewTable(incarnation string) *Table {
-	t := &Table{incarnation: incarnation}
+func NewTable(now time.Time, self Owner) *Table {
+	t := &Table{self: self, started: now}
 	for i := range t.shards {
-		t.shards[i].records = map[string]*record{}
+		t.shards[i].rows = map[string]*row{}
 	}
 	return t
 }
 
-// Begin calls decided once, possibly later from another goroutine. Fingerprint
-// identifies the content of the request.
-func (t *Table) Begin(now time.Time, key Key, fingerprint uint64, decided func(Decision)) {
-	if key.Token.Incarnation != t.incarnation {
-		decided(Decision{Verdict: NotOwner})
+// Token returns a new unrecorded token.
+func (t *Table) Token(now time.Time, session uint64) Token {
+	return Token{Kind: Unrecorded, Home: t.self, Session: session, Issued: now.Sub(t.started)}
+}
+
+// Begin decides about a send, possibly later. A send for another incarnation
+// isn't run.
+func (t *Table) Begin(now time.Time, send *Send) {
+	if send.Key.Token.Home.Incarnation != t.self.Incarnation {
+		send.Decided(send.notBegun(ReasonOwnerGone))
 		return
 	}
-	decision, ready := t.begin(now, key.String(), fingerprint, decided)
+	decision, ready := t.begin(now, send)
 	if ready {
-		decided(decision)
+		send.Decided(decision)
 	}
 }
 
-func (t *Table) begin(now time.Time, key string, fingerprint uint64, decided func(Decision)) (Decision, bool) {
+func (t *Table) begin(now time.Time, send *Send) (Decision, bool) {
+	key := send.Key.String()
 	shard := t.shard(key)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	shard.expire(now)
-	existing := shard.records[key]
+	existing := shard.rows[key]
+	if existing == nil {
+		return t.beginNew(now, shard, key, send), true
+	}
+	return existing.join(now, send)
+}
+
+func (t *Table) beginNew(now time.Time, shard *tableShard, key string, send *Send) Decision {
+	expiresAt := t.started.Add(send.Key.Token.Issued + TokenLifetime)
+	if !now.Before(expiresAt) {
+		return send.notBegun(ReasonTokenExpired)
+	}
+	if send.Key.Token.Issued > now.Sub(t.started) || len(shard.rows) >= maxShardKeys {
+		return send.notBegun(ReasonRecordFull)
+	}
+	added := &row{fingerprint: send.Fingerprint, number: send.Number}
+	shard.rows[key] = added
+	shard.expiry = append(shard.expiry, expiring{key: key, at: expiresAt})
+	return added.start(now, send)
+}
+
+// start dispatches a send, or notes that it never will be.
+func (r *row) start(now time.Time, send *Send) Decision {
+	r.number = send.Number
+	if !send.Decline && now.Before(send.CommitBy) {
+		r.outcome = Outcome{}
+		return Decision{Verdict: Run}
+	}
+	r.outcome = Outcome{Status: NeverRan, UpTo: send.Number}
+	return Decision{Verdict: Replay, Outcome: r.outcome, Reason: ReasonDeclined}
+}
+
+func (r *row) join(now time.Time, send *Send) (Decision, bool) {
 	switch {
-	case existing == nil:
-		shard.records[key] = &record{fingerprint: fingerprint}
-		return Decision{Verdict: Run}, true
-	case existing.fingerprint != fingerprint:
+	case r.fingerprint != send.Fingerprint:
 		return Decision{Verdict: Mismatch}, true
-	case existing.outcome.Status == NeverRan:
-		existing.outcome = Outcome{}
-		return Decision{Verdict: Run}, true
-	case existing.outcome.Status == Running:
-		existing.waiters = append(existing.waiters, decided)
+	case r.outcome.allows(send):
+		return r.start(now, send), true
+	case r.outcome.Status == Running:
+		r.waiters = append(r.waiters, send)
 		return Decision{}, false
 	}
-	return Decision{Verdict: Replay, Outcome: existing.outcome}, true
+	return replay(r.outcome), true
 }
 
 // Finish records the end of a request that Begin let run. A later answer
 // replaces status Unsure.
-func (t *Table) Finish(now time.Time, key Key, outcome Outcome) {
-	for _, waiter := range t.finish(now, key.String(), outcome) {
-		waiter(Decision{Verdict: Replay, Outcome: outcome})
+func (t *Table) Finish(_ time.Time, key Key, outcome Outcome) {
+	waiters, final := t.finish(key.String(), outcome)
+	for _, waiter := range waiters {
+		waiter.Decided(replay(final))
 	}
 }
 
-func (t *Table) finish(now time.Time, key string, outcome Outcome) []func(Decision) {
+func (t *Table) finish(key string, outcome Outcome) ([]*Send, Outcome) {
 	shard := t.shard(key)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	existing := shard.records[key]
+	existing := shard.rows[key]
 	if existing == nil || existing.outcome.Status == Ran {
-		return nil
+		return nil, outcome
 	}
-	existing.outcome = outcome
 	waiters := existing.waiters
 	existing.waiters = nil
-	shard.expiry = append(shard.expiry, expiring{key: key, at: now.Add(retention)})
-	return waiters
+	if outcome.Status == NeverRan {
+		invariant.Check(existing.outcome.Status == Running, invariant.NotRunIsTrue, "key %q is in state %d", key, existing.outcome.Status)
+		outcome.UpTo = highestNumber(existing.number, waiters)
+	}
+	existing.outcome = outcome
+	shard.keepAnswer(existing)
+	return waiters, outcome
+}
+
+// highestNumber returns the highest send number that is answered as never run.
+func highestNumber(number int, waiters []*Send) int {
+	for _, waiter := range waiters {
+		if !waiter.query {
+			number = max(number, waiter.Number)
+		}
+	}
+	return number
 }
 
 func (t *Table) shard(key string) *tableShard {
 	return &t.shards[xxhash.Sum64String(key)%shardCount]
 }
 
-// expire drops outcomes whose retention is over.
+// keepAnswer keeps the newest answers within the bound.
+func (s *tableShard) keepAnswer(added *row) {
+	if added.outcome.Answer == nil {
+		return
+	}
+	s.answers = append(s.answers, added)
+	s.answerBytes += len(added.outcome.Answer.Body)
+	for s.answerBytes > maxShardAnswerBytes && len(s.answers) > 1 {
+		oldest := s.answers[0]
+		s.answers = s.answers[1:]
+		s.answerBytes -= len(oldest.outcome.Answer.Body)
+		oldest.outcome.Answer = nil
+	}
+}
+
+// expire drops keys whose token has expired.
 func (s *tableShard) expire(now time.Time) {
-	for len(s.expiry) > 0 && s.expiry[0].at.Before(now) {
-		delete(s.records, s.expiry[0].key)
+	for len(s.expiry) > 0 && !now.Before(s.expiry[0].at) {
+		key := s.expiry[0].key
 		s.expiry = s.expiry[1:]
+		existing := s.rows[key]
+		if existing.outcome.Status == Running {
+			s.expiry = append(s.expiry, expiring{key: key, at: now.Add(TokenLifetime)})
+			continue
+		}
+		delete(s.rows, key)
 	}
 }
--- a/internal/proxy/attempt_test.go
+++ b/internal/proxy/attempt_test.go
@@ -60,7 +60,7 @@
 	second, secondAddress := startStandin(t, targetd.Options{Name: "second", Slots: 3, Seed: 1})
 	second.SetFaults(targetd.Faults{CutAnswers: true})
 	p, entry := startEntry(t, serviceOf(firstAddress, secondAddress))
-	key := "u." + p.instance + ".1:1"
+	key := p.guard.Token(time.Now(), false).String() + ":1"
 	response := post(t, entry, "book", map[string]string{wire.HeaderIdempotencyKey: key})
 	require.Equal(t, wire.OutcomeUnknown, string(response.Header.Peek(wire.HeaderOutcome)))
 	require.Equal(t, 1, len(first.Journal())+len(second.Journal()))
@@ -73,7 +73,7 @@
 	p, entry := startEntry(t, serviceOf(leavingAddress, liveAddress))
 	const bookings = 20
 	for i := range bookings {
-		key := "u." + p.instance + ".1:" + strconv.Itoa(i)
+		key := p.guard.Token(time.Now(), false).String() + ":" + strconv.Itoa(i)
 		response := post(t, entry, "book", map[string]string{wire.HeaderIdempotencyKey: key})
 		require.Equal(t, wire.OutcomeRan, string(response.Header.Peek(wire.HeaderOutcome)))
 	}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -33,6 +33,8 @@
 	request  *fasthttp.Request
 	key      *idempotency.Key
 	decision dispatch.Call
+	// undecided answers a non-idempotent call whose outcome isn't known in time.
+	undecided *time.Timer
 }
 
 // Serve implements callerserver.Handler.
@@ -40,7 +42,7 @@
 	now := time.Now()
 	c, problem := p.newCall(request, exchange, now)
 	if problem != nil {
-		exchange.Reply(callerserver.ErrorResponse(problem.status, problem.reply))
+		refuse(request, exchange, problem)
 		return
 	}
 	if c.key == nil {
--- a/internal/proxy/chain_test.go
+++ b/internal/proxy/chain_test.go
@@ -57,7 +57,7 @@
 func startEntry(t *testing.T, service *config.Service) (*Proxy, string) {
 	t.Helper()
 	name := "entry-" + strconv.FormatUint(uint64(nextAddress.Add(1)), 10)
-	p := New(name, idempotency.NewTable(name), quietLog())
+	p := New(name, idempotency.NewGuard(time.Now(), idempotency.Owner{Incarnation: name, VM: name}, nil), quietLog())
 	p.Apply(&config.Snapshot{Revision: 1, Services: map[string]*config.Service{service.Name: service}})
 	limits := callerserver.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, SendTimeout: callTimeout, IdleTimeout: callTimeout}
 	server := callerserver.New(p, limits, quietLog())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,7 +26,8 @@
 	log       logrus.FieldLogger
 	client    *targetclient.Client
 	probes    *probe.Client
-	table     *idempotency.Table
+	guard     *idempotency.Guard
+	locate    Locator
 	instance  string
 	nextCall  atomic.Uint64
 	measuring measuring
@@ -35,8 +36,8 @@
 
 // New returns a proxy without services. Instance makes attempt IDs unique among
 // daemons.
-func New(instance string, table *idempotency.Table, log logrus.FieldLogger) *Proxy {
-	p := &Proxy{log: log, client: targetclient.New(), probes: probe.NewClient(), table: table, instance: instance}
+func New(instance string, guard *idempotency.Guard, log logrus.FieldLogger) *Proxy {
+	p := &Proxy{log: log, client: targetclient.New(), probes: probe.NewClient(), guard: guard, instance: instance}
 	p.shards.Store(&map[string]*shard{})
 	return p
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -43,6 +43,17 @@
 	MaxHeaderBytes int `json:"max_header_bytes" validate:"min=512,max=1048576"`
 	// MaxBodyBytes bounds the body of a request, in bytes. Default 1048576.
 	MaxBodyBytes int `json:"max_body_bytes" validate:"min=1,max=67108864"`
+	// RecordGroupMs is how long a non-idempotent request waits for others to share
+	// the write of their at-most-once records, in milliseconds. Default 2.
+	RecordGroupMs int `json:"record_group_ms" validate:"min=0,max=1000"`
+	// RecordWritesPerSecond is the number of platform writes that the entry VMs
+	// together may spend on at-most-once records, a second. Default 200.
+	RecordWritesPerSecond int `json:"record_writes_per_second" validate:"min=1,max=100000"`
+	// RecordReadsPerSecond is the same for platform reads. Default 400.
+	RecordReadsPerSecond int `json:"record_reads_per_second" validate:"min=1,max=100000"`
+	// RecordSlots is the number of record objects on the platform. It is the same
+	// on all entry VMs. Default 4096.
+	RecordSlots int `json:"record_slots" validate:"min=1,max=1000000"`
 	// LogLevel is one of debug, info, warning and error. Default info.
 	LogLevel string `json:"log_level" validate:"oneof=debug info warning error"`
 }
@@ -58,7 +69,13 @@
 		KeepSeconds:       5,
 		MaxHeaderBytes:    16 << 10,
 		MaxBodyBytes:      1 << 20,
-		LogLevel:          "info",
+
+		RecordGroupMs:         2,
+		RecordWritesPerSecond: 200,
+		RecordReadsPerSecond:  400,
+		RecordSlots:           4096,
+
+		LogLevel: "info",
 	}
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -22,6 +22,13 @@
 	HeaderAttempts = "Poplarwheel-Attempts"
 )
 
+// Headers between entry daemons.
+const (
+	// HeaderForwarded is "true" on a call that another entry daemon passes on. It
+	// is not passed on again.
+	HeaderForwarded = "Poplarwheel-Forwarded"
+)
+
 // Headers between entry daemons and targets.
 const (
 	// HeaderAttemptID identifies one attempt. A target returns it unchanged.
