Pass calls on with an attempt ID and read back writes whose answer was lost

A forwarded call carried no attempt ID and its answer carried the target's, so the target client took every answer for a foreign one: recorded keys fell back to the record, unrecorded ones ended as unknown. TestUnrecordedKeyAtAnotherEntry failed on this and passes now.

A write whose answer was lost was sent again before the object was read; while every answer is lost that never ends, and TestLostAnswersOfThePlatform failed with not-run. It is read first now, and sent again on the same version only if the version hasn't moved.

--- a/internal/idempotency/record.go
+++ b/internal/idempotency/record.go
@@ -77,8 +77,9 @@
 	// uncertain is set when an answer was lost: the write may still take effect
 	// while the version is unchanged.
 	uncertain bool
-	// conflicted is set when the version is known to have moved.
-	conflicted bool
+	// unread is set while the object has to be read before the write is sent
+	// again, on the same version.
+	unread bool
 }
 
 type intent struct {
@@ -284,7 +285,7 @@
 	if r.phase != idle || !r.hasWork() || now.Before(later(r.retryAt, r.workAt())) {
 		return
 	}
-	if !r.loaded || (r.write != nil && r.write.conflicted) {
+	if !r.loaded || (r.write != nil && r.write.unread) {
 		r.phase = reading
 		r.act(Action{Kind: ReadObject})
 		return
--- a/internal/idempotency/record_write.go
+++ b/internal/idempotency/record_write.go
@@ -126,10 +126,10 @@
 	case Applied:
 		r.resolve(now, version, r.write.content)
 	case Conflict:
-		r.write.conflicted = true
+		r.write.unread = true
 	case Uncertain:
 		r.write.uncertain = true
-		r.retryAt = now.Add(r.limits.RetryDelay)
+		r.write.unread = true
 	case Refused:
 		r.refused(now)
 	case Missing:
@@ -173,7 +173,7 @@
 		r.lose()
 	case r.write != nil && version <= r.write.version:
 		// The write may still take effect: it is sent again.
-		r.write.conflicted = false
+		r.write.unread = false
 		r.retryAt = now.Add(r.limits.RetryDelay)
 	default:
 		r.resolve(now, version, content)
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -182,6 +182,7 @@
 func (c *call) relay(current gnet.EventLoop, response *fasthttp.Response, spent int) {
 	response.Header.ResetConnectionClose()
 	response.Header.Set(wire.HeaderOutcome, wire.OutcomeRan)
+	c.setAttemptID(response)
 	response.Header.Set(wire.HeaderAttemptsSpent, strconv.Itoa(spent))
 	if current == c.exchange.Loop() {
 		c.exchange.ReplyOnLoop(response)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -81,10 +81,22 @@
 	request.SetBodyRaw(c.request.Body())
 	request.Header.Del(fasthttp.HeaderConnection)
 	request.Header.Set(wire.HeaderForwarded, wire.True)
+	request.Header.Set(wire.HeaderAttemptID, c.shard.proxy.instance+"-forward-"+strconv.FormatUint(c.decision.ID, 36))
 	request.Header.Set(wire.HeaderTimeout, strconv.FormatInt(max(c.decision.Deadline.Sub(now).Milliseconds(), 1), 10))
 	return request
 }
 
+// setAttemptID puts the caller's attempt ID in place of the attempt's own, so
+// that a daemon which passed the call on knows its answer.
+func (c *call) setAttemptID(response *fasthttp.Response) {
+	id := c.request.Header.Peek(wire.HeaderAttemptID)
+	if len(id) == 0 {
+		response.Header.Del(wire.HeaderAttemptID)
+		return
+	}
+	response.Header.SetBytesV(wire.HeaderAttemptID, id)
+}
+
 func (f *forwarding) done(response *fasthttp.Response, err error) {
 	var notSent *targetclient.NotSentError
 	switch {
@@ -110,6 +122,7 @@
 		return
 	}
 	response.Header.ResetConnectionClose()
+	f.call.setAttemptID(response)
 	f.call.exchange.ReplyOnLoop(response)
 }
 
