--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/proxy"
@@ -33,6 +34,8 @@
 	Configuration rollout.Status      `json:"configuration"`
 	Peers         PeerStatus          `json:"peers"`
 	Measuring     proxy.Measuring     `json:"measuring"`
+
+	Records idempotency.RecorderState `json:"records"`
 }
 
 // PeerStatus is the state of the inner protocol.
@@ -83,6 +86,7 @@
 		Peers:         d.peerStatus(),
 		Targets:       d.proxy.Targets(),
 		Measuring:     d.proxy.Measuring(),
+		Records:       d.once.recorder.State(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/entryset"
-	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
@@ -47,7 +46,7 @@
 	peers       *peer.Server
 	peerClient  *peer.Client
 	snapshot    atomic.Pointer[config.Snapshot]
-	sessions    atomic.Uint64
+	once        once
 	started     time.Time
 	stop        chan struct{}
 	members     *members
@@ -68,8 +67,8 @@
 	}
 	d.snapshot.Store(config.Empty())
 	d.targetsLeaving.Store(&map[string]bool{})
-	table := idempotency.NewTable(d.incarnation)
-	d.proxy = proxy.New(d.incarnation, table, d.log)
+	d.once = d.newOnce()
+	d.proxy = proxy.New(d.incarnation, d.once.guard, d.log)
 	limits := callerserver.Limits{
 		HeaderBytes: s.MaxHeaderBytes,
 		BodyBytes:   s.MaxBodyBytes,
@@ -83,6 +82,7 @@
 	}
 	d.peerClient = peer.NewClient([]byte(s.PeerKey))
 	d.follow()
+	d.startOnce()
 	d.admin = &fasthttp.Server{Handler: d.serveAdmin, NoDefaultServerHeader: true}
 	return d
 }
@@ -109,6 +109,7 @@
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	d.proxy.Apply(snapshot)
 	d.targetsConfigured()
+	d.applyOnce(snapshot)
 	d.snapshot.Store(snapshot)
 	d.members.join()
 }
@@ -132,6 +133,7 @@
 	go d.followVMs()
 	go d.sweep()
 	go d.members.run(d.stop)
+	go d.once.recorder.Run(d.stop)
 	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
@@ -144,6 +146,7 @@
 
 func (d *Daemon) shutdown() {
 	d.drain()
+	d.once.recorder.Drain(recordDrainLimit)
 	close(d.stop)
 	d.follower.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
@@ -178,7 +181,9 @@
 			return
 		case now := <-ticker.C:
 			d.proxy.Sweep(now)
-			d.proxy.SetEntryVMs(len(d.members.list()))
+			entryVMs := len(d.members.list())
+			d.proxy.SetEntryVMs(entryVMs)
+			d.once.rates.SetDaemons(entryVMs)
 		}
 	}
 }
@@ -212,11 +217,7 @@
 			Detail:  "no configured service has this name",
 		})
 	}
-	token := idempotency.Token{
-		Kind:        idempotency.Unrecorded,
-		Incarnation: d.incarnation,
-		Session:     strconv.FormatUint(d.sessions.Add(1), 36),
-	}
+	token := d.once.guard.Token(time.Now(), recorded(service))
 	response := &fasthttp.Response{}
 	callerserver.SetJSON(response, wire.EntriesReply{
 		Service:      name,
