Rank by own attempts times slowness, without load reports

Cause: load reports carried on answers were part of the expected work. Change: least-work ranks by own attempts alone. The free-slot policy goes, since the scheduler queues under any policy.

--- a/bench/policy/fleet.go
+++ b/bench/policy/fleet.go
@@ -173,6 +173,9 @@
 			PlatformDown: config.OutageServe,
 		}},
 	}
+	if r.queue {
+		s.RequestTypes[0].QueueMs = int(queueLimit.Milliseconds())
+	}
 	if r.hedgeAfter > 0 {
 		s.HedgeShare = hedgeShare
 		s.RequestTypes[0].HedgeAfterMs = int(r.hedgeAfter.Milliseconds())
--- a/bench/policy/result.go
+++ b/bench/policy/result.go
@@ -65,10 +65,14 @@
 }
 
 func (r row) label() string {
+	label := r.policy
+	if r.queue {
+		label += "+queue"
+	}
 	if r.hedgeAfter > 0 {
-		return fmt.Sprintf("%s+hedge%d", r.policy, r.hedgeAfter.Milliseconds())
+		label += fmt.Sprintf("+hedge%d", r.hedgeAfter.Milliseconds())
 	}
-	return r.policy
+	return label
 }
 
 // columns are the figures of a row, as printed.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -21,14 +21,6 @@
 	Pick(now time.Time, rng *rand.Rand, candidates []*Target) *Target
 }
 
-// Gate is a Policy that holds calls at the entry daemon until a target has a
-// free slot.
-type Gate interface {
-	Policy
-	// Free reports whether the target is believed to have a free slot.
-	Free(now time.Time, target *Target) bool
-}
-
 // Prober is a Policy that ranks targets by probes.
 type Prober interface {
 	Policy
@@ -65,7 +57,6 @@
 	config.PolicyTwoChoices:   func() Policy { return TwoChoices{} },
 	config.PolicyTwoReports:   func() Policy { return TwoReports{} },
 	config.PolicyPooledProbes: func() Policy { return &PooledProbes{} },
-	config.PolicyFreeSlot:     func() Policy { return FreeSlot{} },
 }
 
 // registered holds the policies of programs that compare policies.
--- a/internal/balancer/leastwork.go
+++ b/internal/balancer/leastwork.go
@@ -9,8 +9,8 @@
 // credited with, so that few answers say little.
 const priorAnswers = 4.0
 
-// LeastWork picks the candidate with the least expected work: its load times its
-// slowness. The slowness is the mean time of its recent answers, attempts that
+// LeastWork picks the candidate with the least expected work: this daemon's
+// attempts in flight times the target's slowness. The slowness is the mean time of its recent answers, attempts that
 // still run included, against that of all candidates.
 type LeastWork struct{}
 
@@ -18,7 +18,7 @@
 func (LeastWork) Pick(now time.Time, rng *rand.Rand, candidates []*Target) *Target {
 	typical := typicalTime(now, candidates)
 	return least(rng, candidates, func(t *Target) float64 {
-		return (t.Load(now) + 1) * t.slowness(now, typical)
+		return (inFlight(t) + 1) * t.slowness(now, typical)
 	})
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,7 +23,8 @@
 	PolicyLeast = "least-in-flight"
 	// PolicyLeastReports adds the load reports carried on answers.
 	PolicyLeastReports = "least-reports"
-	// PolicyLeastWork ranks by the expected work: load times recent slowness.
+	// PolicyLeastWork ranks by the expected work: own attempts in flight times
+	// recent slowness.
 	PolicyLeastWork = "least-work"
 	// PolicyTwoChoices takes the better of two by own attempts in flight.
 	PolicyTwoChoices = "two-choices"
@@ -31,8 +32,6 @@
 	PolicyTwoReports = "two-choices-reports"
 	// PolicyPooledProbes ranks a pool of recent probes.
 	PolicyPooledProbes = "pooled-probes"
-	// PolicyFreeSlot holds calls until a slot is believed free.
-	PolicyFreeSlot = "free-slot"
 )
 
 // Behaviours for non-idempotent requests while the platform is unavailable.
