Propose least-work and hedges after four typical service times

Hedges after three typical times use up their budget of 5 % of calls before they matter; after four they don't.

--- a/internal/questionnaire/propose.go
+++ b/internal/questionnaire/propose.go
@@ -66,7 +66,7 @@
 	// second, of a service that puts tail latency first.
 	probesPerServerTail = 4.0
 	// probesPerServerCost is the same for a service that watches the cost.
-	probesPerServerCost = 1.0
+	probesPerServerCost = 0.0
 )
 
 func (p *Proposal) service(team string, answers *Service) *config.Service {
@@ -96,8 +96,9 @@
 }
 
 func (p *Proposal) policy(answers *Service, service *config.Service) {
-	service.Policy = config.PolicyLeast
-	p.because(answers.Name+".policy", service.Policy, "few entry VMs serve the service, so their own counts show most of a server's load")
+	service.Policy = config.PolicyLeastWork
+	p.because(answers.Name+".policy", service.Policy,
+		"few entry VMs serve the service, so their own attempts show a server's load and slowness; it measures nothing, which suits the priority %q too", answers.Priority)
 }
 
 func (p *Proposal) measuring(answers *Service, service *config.Service) {
--- a/internal/questionnaire/requesttype.go
+++ b/internal/questionnaire/requesttype.go
@@ -4,7 +4,7 @@
 
 const (
 	// hedgeMultiple times the typical service time is the delay of a hedge.
-	hedgeMultiple = 3
+	hedgeMultiple = 4
 	// runMultiple times the typical service time is kept for the run itself.
 	runMultiple = 4
 	// minQueueShare of the agreed time may always be spent waiting for a slot.
