--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,6 +41,7 @@
 		"probes_per_second: is -1, must be at least 0": func(s *Service) { s.ProbesPerSecond = -1 },
 		"retry_share: is 1.5, must be at most 1":       func(s *Service) { s.RetryShare = 1.5 },
 		"hedge_share: is -0.1, must be at least 0":     func(s *Service) { s.HedgeShare = -0.1 },
+		"must be at least the number of entry VMs, 24": func(s *Service) { s.Groups[0].MaxConnections = DefaultEntryVMLimit - 1 },
 		"groups: must be given":                        func(s *Service) { s.Groups = nil },
 		"groups: must not repeat a name":               func(s *Service) { s.Groups = append(s.Groups, s.Groups[0]) },
 		"groups[0].slots: is 0, must be at least 1":    func(s *Service) { s.Groups[0].Slots = 0 },
--- a/internal/dispatch/signals.go
+++ b/internal/dispatch/signals.go
@@ -33,7 +33,7 @@
 			return nil
 		}
 	}
-	if target.Probing || target.Leaving {
+	if target.Probing || target.Leaving || !target.HasConnection() {
 		return nil
 	}
 	return target
