--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -15,12 +15,15 @@
 	Status int
 	// Reason is a stable error code.
 	Reason string
-	// Cause is set where a codec gave one.
+	// Cause says more, or is nil.
 	Cause error
 }
 
 // Error implements error.
 func (e *ParseError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("callerserver: %s (status %d)", e.Reason, e.Status)
+	}
 	return fmt.Sprintf("callerserver: %s (status %d): %v", e.Reason, e.Status, e.Cause)
 }
 
@@ -32,21 +35,13 @@
 // parse reads one request from the start of buffered. It returns a nil request
 // while more bytes are needed. The error is a *ParseError.
 func parse(buffered []byte, limits Limits) (request *fasthttp.Request, size int, err error) {
-	end := bytes.Index(buffered, headerEnd)
-	if end < 0 {
-		if len(buffered) > limits.HeaderBytes {
-			return nil, 0, &ParseError{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: "header_too_large"}
-		}
-		return nil, 0, nil
-	}
-	headerSize := end + len(headerEnd)
-	if headerSize > limits.HeaderBytes {
-		return nil, 0, &ParseError{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: "header_too_large"}
+	headerSize, err := headerLength(buffered, limits)
+	if headerSize == 0 || err != nil {
+		return nil, 0, err
 	}
 	request = &fasthttp.Request{}
-	reader := bufio.NewReaderSize(bytes.NewReader(buffered[:headerSize]), headerSize)
-	if err := request.Header.Read(reader); err != nil {
-		return nil, 0, &ParseError{Status: fasthttp.StatusBadRequest, Reason: "malformed_header", Cause: err}
+	if err := readHeader(request, buffered[:headerSize]); err != nil {
+		return nil, 0, err
 	}
 	bodySize, err := bodyLength(request, limits)
 	if err != nil {
@@ -60,6 +55,55 @@
 	return request, size, nil
 }
 
+// headerLength returns the length of the header, or 0 while it isn't complete.
+func headerLength(buffered []byte, limits Limits) (int, error) {
+	end := bytes.Index(buffered, headerEnd)
+	size := end + len(headerEnd)
+	if end < 0 {
+		size = len(buffered)
+	}
+	if size > limits.HeaderBytes {
+		return 0, &ParseError{Status: fasthttp.StatusRequestHeaderFieldsTooLarge, Reason: "header_too_large"}
+	}
+	if end < 0 {
+		return 0, nil
+	}
+	return size, nil
+}
+
+// readHeader parses a header. All of it has to be one header: the codec also ends
+// a header at two bare line feeds, and what follows them would get lost.
+func readHeader(request *fasthttp.Request, header []byte) error {
+	source := bytes.NewReader(header)
+	reader := bufio.NewReaderSize(source, len(header))
+	if err := request.Header.Read(reader); err != nil {
+		return malformed(err)
+	}
+	if rest := reader.Buffered() + source.Len(); rest > 0 {
+		return malformed(&TrailingBytesError{Bytes: rest})
+	}
+	switch string(request.Header.Method()) {
+	case fasthttp.MethodHead, fasthttp.MethodConnect, fasthttp.MethodTrace:
+		return &ParseError{Status: fasthttp.StatusNotImplemented, Reason: "method_not_supported"}
+	}
+	if len(request.Header.Peek(fasthttp.HeaderExpect)) > 0 {
+		return &ParseError{Status: fasthttp.StatusExpectationFailed, Reason: "expectation_failed"}
+	}
+	return nil
+}
+
+func malformed(cause error) error {
+	return &ParseError{Status: fasthttp.StatusBadRequest, Reason: "malformed_header", Cause: cause}
+}
+
+// TrailingBytesError reports bytes between the end of a header and its last line.
+type TrailingBytesError struct{ Bytes int }
+
+// Error implements error.
+func (e *TrailingBytesError) Error() string {
+	return fmt.Sprintf("%d bytes after the end of the header", e.Bytes)
+}
+
 func bodyLength(request *fasthttp.Request, limits Limits) (int, error) {
 	if len(request.Header.Peek(fasthttp.HeaderTransferEncoding)) > 0 || request.Header.ContentLength() == -1 {
 		return 0, &ParseError{Status: fasthttp.StatusLengthRequired, Reason: "length_required"}
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -32,6 +31,11 @@
 	SendTimeout time.Duration
 	// IdleTimeout bounds the time between requests.
 	IdleTimeout time.Duration
+	// Connections bounds the open connections. 0 means no limit.
+	Connections int
+	// BufferedBytes bounds the bytes of requests that have arrived in part, over
+	// all connections. 0 means no limit.
+	BufferedBytes int
 }
 
 // sweepInterval is the pause between two checks of the timeouts.
@@ -138,6 +142,8 @@
 	// callerIP is set when the connection opens.
 	callerIP string
 	exchange *Exchange
+	// buffered is what the connection adds to Server.buffered.
+	buffered int64
 	// waitingSince is when the current wait for the caller began, in Unix
 	// nanoseconds; 0 while a request is served.
 	waitingSince atomic.Int64
@@ -170,6 +176,11 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	conns    sync.Map
+	// open counts the connections. The engine's own count can't be read while it
+	// starts.
+	open atomic.Int64
+	// buffered counts the bytes of requests that have arrived in part.
+	buffered atomic.Int64
 }
 
 // New returns a server.
@@ -196,7 +207,7 @@
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
 // Connections returns the number of open connections.
-func (s *Server) Connections() int { return s.engine.CountConnections() }
+func (s *Server) Connections() int { return int(s.open.Load()) }
 
 // Stop closes the server and its connections.
 func (s *Server) Stop(ctx context.Context) error { return s.engine.Stop(ctx) }
@@ -214,6 +225,10 @@
 		return nil, enrolled.Opened(conn)
 	}
 	state := &connState{open: true, callerIP: ipOf(conn.RemoteAddr())}
+	if s.crowded(s.open.Add(1)) {
+		conn.SetContext(state)
+		return s.turnAway(), gnet.Close
+	}
 	state.waitingSince.Store(time.Now().UnixNano())
 	conn.SetContext(state)
 	s.conns.Store(conn, state)
@@ -235,8 +250,10 @@
 		return gnet.None
 	}
 	s.conns.Delete(conn)
+	s.open.Add(-1)
 	state := conn.Context().(*connState)
 	state.open = false
+	s.account(state, 0)
 	exchange := state.exchange
 	state.exchange = nil
 	switch {
@@ -278,8 +295,12 @@
 	}
 	if request == nil {
 		s.awaitRest(state)
+		if s.account(state, len(buffered)) {
+			return s.reject(conn, state, &ParseError{Status: fasthttp.StatusServiceUnavailable, Reason: "buffers_full"})
+		}
 		return gnet.None
 	}
+	s.account(state, 0)
 	_, _ = conn.Discard(size)
 	s.serve(conn, state, request)
 	return gnet.None
@@ -330,23 +351,6 @@
 	return now.Sub(time.Unix(0, since)) > limit
 }
 
-// reject answers a request that can't be parsed and closes the connection.
-func (s *Server) reject(conn gnet.Conn, state *connState, err error) gnet.Action {
-	var parseErr *ParseError
-	if !errors.As(err, &parseErr) {
-		return gnet.Close
-	}
-	response := ErrorResponse(parseErr.Status, wire.ErrorReply{
-		Outcome: wire.OutcomeNotRun,
-		Reason:  parseErr.Reason,
-		Detail:  parseErr.Error(),
-	})
-	response.SetConnectionClose()
-	_, _ = conn.Write([]byte(response.String()))
-	_ = s.closeGracefully(conn, state)
-	return gnet.None
-}
-
 // ErrorResponse returns an answer that the entry daemon makes itself.
 func ErrorResponse(status int, reply wire.ErrorReply) *fasthttp.Response {
 	response := &fasthttp.Response{}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,10 +71,12 @@
 	table := idempotency.NewTable(d.incarnation)
 	d.proxy = proxy.New(d.incarnation, table, d.log)
 	limits := callerserver.Limits{
-		HeaderBytes: s.MaxHeaderBytes,
-		BodyBytes:   s.MaxBodyBytes,
-		SendTimeout: sendTimeout,
-		IdleTimeout: idleTimeout,
+		HeaderBytes:   s.MaxHeaderBytes,
+		BodyBytes:     s.MaxBodyBytes,
+		SendTimeout:   sendTimeout,
+		IdleTimeout:   idleTimeout,
+		Connections:   s.MaxCallerConnections,
+		BufferedBytes: s.MaxBufferedBytes,
 	}
 	d.callers = callerserver.New(d, limits, d.log)
 	d.peers = peer.NewServer([]byte(s.PeerKey), d.log)
@@ -83,7 +85,7 @@
 	}
 	d.peerClient = peer.NewClient([]byte(s.PeerKey))
 	d.follow()
-	d.admin = &fasthttp.Server{Handler: d.serveAdmin, NoDefaultServerHeader: true}
+	d.admin = newAdminServer(d.serveAdmin, d.log)
 	return d
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,11 @@
 	MaxHeaderBytes int `json:"max_header_bytes" validate:"min=512,max=1048576"`
 	// MaxBodyBytes bounds the body of a request, in bytes. Default 1048576.
 	MaxBodyBytes int `json:"max_body_bytes" validate:"min=1,max=67108864"`
+	// MaxCallerConnections bounds the open connections of callers. Default 10000.
+	MaxCallerConnections int `json:"max_caller_connections" validate:"min=1,max=1000000"`
+	// MaxBufferedBytes bounds the bytes of requests that have arrived in part,
+	// over all connections. Default 67108864.
+	MaxBufferedBytes int `json:"max_buffered_bytes" validate:"min=1048576,max=17179869184"`
 	// LogLevel is one of debug, info, warning and error. Default info.
 	LogLevel string `json:"log_level" validate:"oneof=debug info warning error"`
 }
@@ -56,15 +61,17 @@
 // Default returns the settings with every default filled in.
 func Default() *Settings {
 	return &Settings{
-		CallerPort:        8080,
-		PeerPort:          7946,
-		AdminPort:         9090,
-		PlatformTimeoutMs: 1000,
-		EventLoops:        2,
-		KeepSeconds:       5,
-		MaxHeaderBytes:    16 << 10,
-		MaxBodyBytes:      1 << 20,
-		LogLevel:          "info",
+		CallerPort:           8080,
+		PeerPort:             7946,
+		AdminPort:            9090,
+		PlatformTimeoutMs:    1000,
+		EventLoops:           2,
+		KeepSeconds:          5,
+		MaxHeaderBytes:       16 << 10,
+		MaxBodyBytes:         1 << 20,
+		MaxCallerConnections: 10_000,
+		MaxBufferedBytes:     64 << 20,
+		LogLevel:             "info",
 	}
 }
 
