--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,11 @@
 	// RecordSlots is the number of record objects on the platform. It is the same
 	// on all entry VMs. Default 4096.
 	RecordSlots int `json:"record_slots" validate:"min=1,max=1000000"`
+	// MaxCallerConnections bounds the open connections of callers. Default 10000.
+	MaxCallerConnections int `json:"max_caller_connections" validate:"min=1,max=1000000"`
+	// MaxBufferedBytes bounds the bytes of requests that have arrived in part,
+	// over all connections. Default 67108864.
+	MaxBufferedBytes int `json:"max_buffered_bytes" validate:"min=1048576,max=17179869184"`
 	// LogLevel is one of debug, info, warning and error. Default info.
 	LogLevel string `json:"log_level" validate:"oneof=debug info warning error"`
 }
@@ -67,21 +72,21 @@
 // Default returns the settings with every default filled in.
 func Default() *Settings {
 	return &Settings{
-		CallerPort:        8080,
-		PeerPort:          7946,
-		AdminPort:         9090,
-		PlatformTimeoutMs: 1000,
-		EventLoops:        2,
-		KeepSeconds:       5,
-		MaxHeaderBytes:    16 << 10,
-		MaxBodyBytes:      1 << 20,
-
+		CallerPort:            8080,
+		PeerPort:              7946,
+		AdminPort:             9090,
+		PlatformTimeoutMs:     1000,
+		EventLoops:            2,
+		KeepSeconds:           5,
+		MaxHeaderBytes:        16 << 10,
+		MaxBodyBytes:          1 << 20,
 		RecordGroupMs:         2,
 		RecordWritesPerSecond: 200,
 		RecordReadsPerSecond:  400,
 		RecordSlots:           4096,
-
-		LogLevel: "info",
+		MaxCallerConnections:  10_000,
+		MaxBufferedBytes:      64 << 20,
+		LogLevel:              "info",
 	}
 }
 
