Answer readiness with the revision; keep faults off the target's controls

Cause: a fault of the target stand-in cut the answers of its own control port, and watching a revision needed the whole dump. Change: CutAnswers spares /control/; /v1/ready returns the revision.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -17,7 +17,7 @@
 const (
 	// PathDump returns the daemon's state as JSON.
 	PathDump = "/v1/dump"
-	// PathReady returns 200 once a configuration is in force.
+	// PathReady returns a Ready, with status 200 once a configuration is in force.
 	PathReady = "/v1/ready"
 )
 
@@ -64,14 +64,32 @@
 	case PathDump:
 		d.serveDump(ctx)
 	case PathReady:
-		if d.snapshot.Load().Revision == 0 {
-			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-		}
+		d.serveReady(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
 }
 
+// Ready is the answer of PathReady.
+type Ready struct {
+	// Revision is the configuration revision in force; 0 means none.
+	Revision uint64 `json:"revision"`
+}
+
+func (d *Daemon) serveReady(ctx *fasthttp.RequestCtx) {
+	ready := Ready{Revision: d.snapshot.Load().Revision}
+	if ready.Revision == 0 {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	body, err := json.Marshal(ready)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
 // Dump returns the daemon's state.
 func (d *Daemon) Dump() Dump {
 	return Dump{
--- a/internal/standin/targetd/conn.go
+++ b/internal/standin/targetd/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"net"
 	"strconv"
@@ -45,7 +46,7 @@
 		}
 	}()
 	answered := c.handle(request, response, closed)
-	if !answered || !c.write(response) {
+	if !answered || !c.write(request, response) {
 		_ = c.net.Close()
 		<-watching
 		return false
@@ -54,8 +55,9 @@
 	return !request.ConnectionClose()
 }
 
-func (c *conn) write(response *fasthttp.Response) bool {
-	if c.target.faults.Load().CutAnswers {
+func (c *conn) write(request *fasthttp.Request, response *fasthttp.Response) bool {
+	control := bytes.HasPrefix(request.URI().Path(), []byte(controlPrefix))
+	if !control && c.target.faults.Load().CutAnswers {
 		whole := response.String()
 		_, _ = c.net.Write([]byte(whole[:len(whole)-1]))
 		return false
--- a/internal/standin/targetd/options.go
+++ b/internal/standin/targetd/options.go
@@ -65,6 +65,10 @@
 	Leaving bool `json:"leaving"`
 }
 
+// controlPrefix starts the paths of the stand-in's controls, which no fault
+// concerns.
+const controlPrefix = "/control/"
+
 // Paths and headers of the stand-in itself.
 const (
 	// PathJournal returns the journal as JSON.
