Add metrics, sections of the dump and addresses that tests don't share

Cause: a daemon showed neither calls, attempts, budgets nor calls to the platform; and tests of two processes with equal process numbers modulo 200 got the same loopback addresses (seen once in test/e2e: bind: address already in use). Ruled out: one registry for the process (the demo runs ten daemons in one); labels from headers (a caller could make any number of series). Change: internal/metrics with client_golang, /metrics on the admin port, counts of first attempts, retries and hedges in the proxy, AddDumpSection, internal/loopback used by test/e2e, test/fleet, internal/demo and internal/callerserver. Before: no /metrics.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -63,6 +63,9 @@
 	replied atomic.Bool
 	close   bool
 
+	observer Observer
+	started  time.Time
+
 	mu     sync.Mutex
 	gone   bool
 	onGone func()
@@ -127,6 +130,7 @@
 }
 
 func (e *Exchange) serialize(response *fasthttp.Response) *bytebufferpool.ByteBuffer {
+	e.observe(response)
 	if e.close || e.server.draining.Load() {
 		e.close = true
 		response.SetConnectionClose()
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -17,6 +17,8 @@
 const (
 	// PathDump returns the daemon's state as JSON.
 	PathDump = "/v1/dump"
+	// PathMetrics returns the metrics in Prometheus' text format.
+	PathMetrics = "/metrics"
 	// PathReady returns 200 once a configuration is in force.
 	PathReady = "/v1/ready"
 )
@@ -36,6 +38,8 @@
 	Measuring     proxy.Measuring     `json:"measuring"`
 
 	Records idempotency.RecorderState `json:"records"`
+	// Sections hold the state of parts by name, see AddDumpSection.
+	Sections map[string]any `json:"sections"`
 }
 
 // PeerStatus is the state of the inner protocol.
@@ -63,6 +67,8 @@
 	switch string(ctx.Path()) {
 	case PathDump:
 		d.serveDump(ctx)
+	case PathMetrics:
+		d.observed.serveMetrics(ctx)
 	case PathReady:
 		if d.snapshot.Load().Revision == 0 {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -87,6 +93,7 @@
 		Targets:       d.proxy.Targets(),
 		Measuring:     d.proxy.Measuring(),
 		Records:       d.once.recorder.State(),
+		Sections:      d.dumpSections(),
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,7 @@
 	started     time.Time
 	stop        chan struct{}
 	members     *members
+	observed    observed
 	// targetsLeaving are the target VMs that the platform's list shows as leaving
 	// or gone.
 	targetsLeaving atomic.Pointer[map[string]bool]
@@ -62,9 +63,10 @@
 		settings:    s,
 		log:         log.WithField("vm", s.Name),
 		incarnation: hex.EncodeToString(id[:8]),
-		store:       platform.NewClient(s.Platform, s.PlatformTimeout()),
 		stop:        make(chan struct{}),
+		observed:    newObserved(),
 	}
+	d.store = d.observed.metrics.Platform.Count(platform.NewClient(s.Platform, s.PlatformTimeout()))
 	d.snapshot.Store(config.Empty())
 	d.targetsLeaving.Store(&map[string]bool{})
 	d.once = d.newOnce()
@@ -85,6 +87,7 @@
 	d.peerClient = peer.NewClient([]byte(s.PeerKey))
 	d.follow()
 	d.startOnce()
+	d.observeParts()
 	d.admin = newAdminServer(d.serveAdmin, d.log)
 	return d
 }
@@ -110,6 +113,7 @@
 
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	d.proxy.Apply(snapshot)
+	d.observed.metrics.Calls.Configure(snapshot)
 	d.targetsConfigured()
 	d.applyOnce(snapshot)
 	d.snapshot.Store(snapshot)
@@ -206,6 +210,7 @@
 		exchange.Reply(d.entries(string(request.URI().QueryArgs().Peek("service"))))
 		return
 	}
+	exchange.Observe(d.seriesOf(request))
 	d.proxy.Serve(request, exchange)
 }
 
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,6 +15,7 @@
 
 	"github.com/poplarwheel/poplarwheel/examples"
 	"github.com/poplarwheel/poplarwheel/internal/invariant"
+	"github.com/poplarwheel/poplarwheel/internal/loopback"
 )
 
 // Options configure a demo.
@@ -71,14 +72,14 @@
 }
 
 func (d *demo) start() error {
-	subnets, err := freeSubnets(2)
-	if err != nil {
-		return err
-	}
 	for i, answers := range [][]byte{examples.Swanbrook, examples.Lumenwalk} {
 		options := d.options
 		options.Seed += uint64(i) * seedStep
-		next, err := startDeployment(answers, subnets[i], options)
+		subnet, err := loopback.Reserve()
+		if err != nil {
+			return &StartError{Part: "loopback addresses", Cause: err}
+		}
+		next, err := startDeployment(answers, subnet.Prefix, options)
 		if next != nil {
 			d.deployments = append(d.deployments, next)
 		}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -35,6 +35,8 @@
 	decision dispatch.Call
 	// undecided answers a non-idempotent call whose outcome isn't known in time.
 	undecided *time.Timer
+	// attempted is set with the first attempt. The shard's lock guards it.
+	attempted bool
 }
 
 // Serve implements callerserver.Handler.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -99,6 +99,7 @@
 	budget    probe.Budget
 	timer     *time.Timer
 	wakeAt    time.Time
+	attempts  AttemptCounts
 }
 
 func newShard(p *Proxy) *shard {
@@ -146,6 +147,7 @@
 	actions := append(buffer[:0], send(time.Now())...)
 	s.resetTimer()
 	bindHandles(actions)
+	s.count(actions)
 	s.mu.Unlock()
 	for _, action := range actions {
 		s.perform(current, action)
--- /dev/null
+++ b/test/e2e/observe_test.go
@@ -0,0 +1,64 @@
+package e2e
+
+import (
+	"net"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/client"
+	"github.com/poplarwheel/poplarwheel/internal/daemon"
+)
+
+const calls = 40
+
+func TestCallsAreSeenInMetricsAndDump(t *testing.T) {
+	f := startFleet(t, 2, 3)
+	revision := f.accept(t, f.answers())
+	f.waitRevision(t, revision)
+	caller := client.New(client.Options{Bootstrap: []string{f.entryAddress(0)}, Service: "stock"})
+	for range calls {
+		answer, err := caller.Do(client.Request{Type: "availability", Path: "/availability", Timeout: 5 * time.Second})
+		require.NoError(t, err)
+		require.Equal(t, client.Ran, answer.Outcome)
+	}
+	counted, attempts := 0.0, 0.0
+	for i := range f.entries {
+		text := f.metrics(t, i)
+		counted += sample(t, text, `poplarwheel_calls_total{outcome="ran",service="stock",type="availability"}`)
+		attempts += sample(t, text, `poplarwheel_attempts_total{kind="first",service="stock"}`)
+		require.Equal(t, float64(revision), sample(t, text, "poplarwheel_configuration_revision"))
+		require.Equal(t, 3.0, sample(t, text, `poplarwheel_targets{service="stock"}`))
+		require.Positive(t, sample(t, text, `poplarwheel_platform_calls_total{operation="watch",result="ok"}`))
+		require.NotContains(t, text, "poplarwheel_invariant_breaches_total{")
+		dump, ok := f.dump(i)
+		require.True(t, ok)
+		require.Contains(t, dump.Sections, "services")
+		require.Contains(t, dump.Sections, "invariant_breaches")
+	}
+	require.Equal(t, float64(calls), counted)
+	require.Equal(t, float64(calls), attempts)
+}
+
+func (f *fleet) metrics(t *testing.T, i int) string {
+	t.Helper()
+	url := "http://" + net.JoinHostPort(f.entries[i], adminPort) + daemon.PathMetrics
+	status, body, err := fasthttp.GetTimeout(nil, url, settleTimeout)
+	require.NoError(t, err)
+	require.Equal(t, fasthttp.StatusOK, status)
+	return string(body)
+}
+
+// sample returns the value of one line of metrics.
+func sample(t *testing.T, text, name string) float64 {
+	t.Helper()
+	match := regexp.MustCompile(`(?m)^` + regexp.QuoteMeta(name) + ` (.*)$`).FindStringSubmatch(text)
+	require.NotNil(t, match, "%s in %s", name, text)
+	value, err := strconv.ParseFloat(match[1], 64)
+	require.NoError(t, err)
+	return value
+}
