--- /dev/null
+++ b/bench/capacity/main.go
@@ -0,0 +1,77 @@
+// Command capacity measures what control costs an entry daemon at several sizes:
+// entry daemons, services, targets and changes of configuration. Targets aren't
+// started, so the cost of targets that answer is measured by other benches.
+//
+// It prints one line of name=value pairs a point.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+type options struct {
+	binary  string
+	window  time.Duration
+	changes int
+	points  []point
+}
+
+// point is one size to measure.
+type point struct {
+	entries  int
+	services int
+	targets  int
+}
+
+// PointError reports a point that isn't "entries:services:targets".
+type PointError struct{ Text string }
+
+// Error implements error.
+func (e *PointError) Error() string {
+	return fmt.Sprintf("point %q must be entries:services:targets", e.Text)
+}
+
+func main() {
+	var o options
+	points := flag.String("points", "4:44:390,13:44:390,17:44:390,4:440:3900,13:440:3900,17:440:3900", "sizes, entries:services:targets each")
+	flag.StringVar(&o.binary, "binary", "bin/poplarwheel", "path of the poplarwheel binary")
+	flag.DurationVar(&o.window, "window", 10*time.Second, "length of each measurement")
+	flag.IntVar(&o.changes, "changes", 20, "changes of configuration for each point")
+	flag.Parse()
+	var err error
+	if o.points, err = parsePoints(*points); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(2)
+	}
+	for _, p := range o.points {
+		if err := measure(o, p); err != nil {
+			fmt.Fprintln(os.Stderr, "capacity:", err)
+			os.Exit(1)
+		}
+	}
+}
+
+func parsePoints(text string) ([]point, error) {
+	var points []point
+	for part := range strings.SplitSeq(text, ",") {
+		numbers := strings.Split(part, ":")
+		if len(numbers) != 3 {
+			return nil, &PointError{Text: part}
+		}
+		var sizes [3]int
+		for i, number := range numbers {
+			size, err := strconv.Atoi(number)
+			if err != nil || size < 1 {
+				return nil, &PointError{Text: part}
+			}
+			sizes[i] = size
+		}
+		points = append(points, point{entries: sizes[0], services: sizes[1], targets: sizes[2]})
+	}
+	return points, nil
+}
--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/bench/internal/process"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/test/fleet"
 )
@@ -58,9 +59,10 @@
 	if err := configure(f); err != nil {
 		return err
 	}
-	before := cpuTime(f.Pid(fleet.EntryName(0)))
+	pid := f.Pid(fleet.EntryName(0))
+	before := process.Of(pid).CPU
 	direct, relayed := measure(f, o)
-	spent := cpuTime(f.Pid(fleet.EntryName(0))) - before
+	spent := process.Of(pid).CPU - before
 	print(o, direct, relayed, spent)
 	return nil
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -10,12 +10,12 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
+	"github.com/poplarwheel/poplarwheel/internal/loopback"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/standin/platformd"
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
@@ -43,8 +43,6 @@
 	peerKey = "fleet test peer key"
 )
 
-var nextSubnet atomic.Uint32
-
 // Options say what to start.
 type Options struct {
 	// Binary is the path of the poplarwheel binary.
@@ -77,7 +75,11 @@
 
 // Start starts the processes and registers the VMs with the platform.
 func Start(options Options) (*Fleet, error) {
-	subnet := fmt.Sprintf("127.%d.%d.", 10+os.Getpid()%200, nextSubnet.Add(1))
+	reserved, err := loopback.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	subnet := reserved.Prefix
 	f := &Fleet{
 		options:   options,
 		subnet:    subnet,
@@ -296,3 +298,17 @@
 	}
 	return json.Unmarshal(body, value)
 }
+
+// Ready returns the revision that entry daemon i has in force.
+func (f *Fleet) Ready(i int) (daemon.Ready, error) {
+	var ready daemon.Ready
+	err := get("http://"+f.AdminAddress(i)+daemon.PathReady, &ready)
+	return ready, err
+}
+
+// PlatformCounts returns the calls that the platform received.
+func (f *Fleet) PlatformCounts() (platformd.Counts, error) {
+	var counts platformd.Counts
+	err := get("http://"+f.Platform+platformd.PathControlCounts, &counts)
+	return counts, err
+}
