--- a/internal/standin/targetd/report.go
+++ b/internal/standin/targetd/report.go
@@ -17,7 +17,7 @@
 	current := wire.LoadReport{
 		InFlight:  t.InFlight(),
 		Slots:     t.options.Slots,
-		LatencyMs: float64(t.options.MeanService) / float64(time.Millisecond),
+		LatencyMs: float64(t.latency()) / float64(time.Millisecond),
 		Leaving:   t.faults.Load().Leaving,
 	}
 	reported := t.lagged(now, current)
--- a/internal/standin/targetd/target.go
+++ b/internal/standin/targetd/target.go
@@ -13,6 +13,8 @@
 const (
 	defaultMaxConnections = 200
 	defaultColdFactor     = 5
+	// recentWeight is the weight of the last run in the reported latency.
+	recentWeight = 0.2
 )
 
 // Target is the stand-in's server.
@@ -35,6 +37,7 @@
 	speed    *speed
 	journal  []*Run
 	reports  []pastReport
+	recent   time.Duration
 	listener net.Listener
 	conns    map[net.Conn]struct{}
 	closed   bool
@@ -56,6 +59,7 @@
 		rng:     rand.New(rand.NewPCG(options.Seed, 1)),
 		speed:   newSpeed(options.Noise, options.Seed, now),
 		conns:   map[net.Conn]struct{}{},
+		recent:  options.MeanService,
 	}
 	t.faults.Store(&Faults{})
 	return t
@@ -168,6 +172,9 @@
 	run.Finished = time.Now()
 	run.Canceled = canceled
 	run.Crashed = crashed
+	if !canceled && !crashed {
+		t.recent += time.Duration(recentWeight * float64(run.Finished.Sub(run.Started)-t.recent))
+	}
 }
 
 // finishTime returns when a request that begins now is done.
@@ -184,6 +191,13 @@
 	return t.speed.finish(now, time.Duration(work))
 }
 
+// latency returns the recent mean time of a run.
+func (t *Target) latency() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recent
+}
+
 // crash ends the process, or what stands for it.
 func (t *Target) crash() {
 	if t.options.Exit != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -116,7 +116,7 @@
 	InFlight int `json:"in_flight"`
 	// Slots is the number of requests run at once.
 	Slots int `json:"slots"`
-	// LatencyMs is a recent median of the service time, in milliseconds.
+	// LatencyMs is a recent mean of the service time, in milliseconds.
 	LatencyMs float64 `json:"latency_ms"`
 	// Leaving is set while the target shuts down.
 	Leaving bool `json:"leaving"`
