--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"os"
 	"os/exec"
@@ -15,14 +16,24 @@
 	"github.com/poplarwheel/poplarwheel/internal/standin/platformd"
 )
 
-// runAsBinary makes the test binary behave as poplarwheel.
-const runAsBinary = "POPLARWHEEL_TEST_RUN_AS_BINARY"
+var binary string
 
-func TestMain(m *testing.M) {
-	if os.Getenv(runAsBinary) != "" {
-		os.Exit(Main(os.Args[1:], Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}))
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+// runTests builds the binary: the test binary itself starts slowly when it is
+// built with the race detector.
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "poplarwheel-cli")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "poplarwheel")
+	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/poplarwheel").CombinedOutput()
+	if err != nil {
+		panic(fmt.Sprintf("%v: %s", err, output))
 	}
-	os.Exit(m.Run())
+	return m.Run()
 }
 
 type result struct {
@@ -35,8 +46,7 @@
 func poplarwheel(t *testing.T, input string, args ...string) result {
 	t.Helper()
 	var stdout, stderr bytes.Buffer
-	command := exec.Command(os.Args[0], args...)
-	command.Env = append(os.Environ(), runAsBinary+"=1")
+	command := exec.Command(binary, args...)
 	command.Stdin = strings.NewReader(input)
 	command.Stdout, command.Stderr = &stdout, &stderr
 	_ = command.Run()
