Write the operators' pages and design notes; change configuration in the demo

Cause: OPERATORS.md was a stub, the demo never changed a configuration under load, and the questionnaire didn't ask for the number of entry VMs or the rate of calls that entry sets are sized by. Change: docs/OPERATORS.md, pages for observability, configuration and callers, design notes for callers, observability and questionnaire, a test that compares the page with a running daemon's metrics and dump; questions entry_vms and calls_per_second; a change of configuration in the demo with the time until it is in force.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -27,6 +27,7 @@
 	require.NoError(t, summary.WriteText(&text))
 	require.Empty(t, summary.Broken, "%s\n%s", progress.String(), text.String())
 	require.NotZero(t, summary.Audit.Keys)
+	require.NotZero(t, summary.InForceMs)
 	for _, expected := range []string{"straggler", "leaves", "platform goes down", "admin http://", "answered correctly in time"} {
 		require.Contains(t, progress.String(), expected)
 	}
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -50,7 +50,11 @@
 	left            *leave
 	streams         []*stream
 	revision        uint64
-	stopOnce        sync.Once
+	// inForceAfter is how long a change took to be in force everywhere; 0 means
+	// that there was none.
+	inForceAfter time.Duration
+	reviseErr    error
+	stopOnce     sync.Once
 }
 
 // entryVM is one entry daemon.
--- a/internal/demo/summary.go
+++ b/internal/demo/summary.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/load"
@@ -20,6 +21,10 @@
 	Audit Audit `json:"audit"`
 	// Measuring is the cost of measuring.
 	Measuring Measuring `json:"measuring"`
+	// InForceMs is the longest time that a change of configuration took from the
+	// operator's acceptance until it was in force on every entry VM, in
+	// milliseconds. 0 means that the demo was too short for a change.
+	InForceMs float64 `json:"in_force_ms"`
 	// Broken names the invariants that did not hold.
 	Broken []string `json:"broken"`
 	// NotChecked names the invariants that the demo was too short to check.
@@ -77,6 +82,8 @@
 			Report:     stream.recorder.Report(),
 		})
 	}
+	summary.InForceMs = max(summary.InForceMs, float64(d.inForceAfter)/float64(time.Millisecond))
+	summary.require(d.reviseErr == nil, "%s: a change of configuration was not accepted: %v", d.name, d.reviseErr)
 	d.judgeLeave(summary)
 }
 
@@ -126,6 +133,7 @@
 	}
 	fmt.Fprintf(&text, "%-39s %7d %8.2f%% %9.2f %9.2f\n\n", "all", s.Total.Calls, 100*s.Total.InTimeShare(), s.Total.LatencyMs.P50, s.Total.LatencyMs.P99)
 	fmt.Fprintf(&text, "measuring      %d load reports, %d health checks (%.3f a call)\n", s.Measuring.Probes, s.Measuring.Checks, s.Measuring.PerCall)
+	fmt.Fprintf(&text, "configuration  a change was in force on every entry VM after %.0f ms\n", s.InForceMs)
 	fmt.Fprintf(&text, "bookings       %d, run twice %d, lost %d, told not run but ran %d, unknown %d\n", s.Audit.Keys, s.Audit.RunTwice, s.Audit.Lost, s.Audit.NotRunButRan, s.Audit.Unknown)
 	fmt.Fprintf(&text, "answers        wrong %d, cut off %d\n", s.Total.Wrong, s.Audit.Cut)
 	for _, name := range s.NotChecked {
--- a/internal/demo/timeline.go
+++ b/internal/demo/timeline.go
@@ -43,6 +43,7 @@
 		{0.40, "the stragglers recover", func(d *deployment) {
 			d.targets[stragglerIndex].target.SetFaults(targetd.Faults{})
 		}},
+		{0.45, "an operator of each deployment changes an agreed time", (*deployment).revise},
 		{0.50, "an entry VM of each deployment leaves", (*deployment).leaveEntry},
 		{0.65, "the platform goes down", func(d *deployment) { d.platform.SetFaults(platformd.Faults{Down: true}) }},
 		{0.85, "the platform is back", func(d *deployment) { d.platform.SetFaults(platformd.Faults{}) }},
@@ -105,6 +106,25 @@
 	}
 }
 
+// agreedStepMs is added to an agreed time when an operator changes it.
+const agreedStepMs = 10
+
+// revise accepts a change of the answers and notes how long it takes to be in
+// force on every entry VM.
+func (d *deployment) revise() {
+	d.answers.Services[0].Requests[0].AgreedMs += agreedStepMs
+	start := time.Now()
+	revision, err := d.accept()
+	if err != nil {
+		d.reviseErr = err
+		return
+	}
+	d.revision = revision
+	if d.inForce(settleTimeout) {
+		d.inForceAfter = time.Since(start)
+	}
+}
+
 // leaveEntry shuts the last entry VM down gracefully.
 func (d *deployment) leaveEntry() {
 	last := len(d.entries) - 1
--- a/internal/questionnaire/answers.go
+++ b/internal/questionnaire/answers.go
@@ -32,6 +32,9 @@
 type Answers struct {
 	// Team owns the services.
 	Team string `json:"team" validate:"required,max=64,identifier"`
+	// EntryVMs is the largest number of entry VMs that run at once, those being
+	// replaced included. Absent, config.DefaultEntryVMLimit counts.
+	EntryVMs int `json:"entry_vms,omitempty" validate:"omitempty,min=1,max=10000"`
 	// Services are the services to configure.
 	Services []Service `json:"services" validate:"required,min=1,unique=Name,dive"`
 }
@@ -48,6 +51,9 @@
 	SlotsPerServer int `json:"slots_per_server" validate:"min=1,max=10000"`
 	// ConnectionsPerServer is the number of connections that a server accepts.
 	ConnectionsPerServer int `json:"connections_per_server" validate:"min=1,max=100000"`
+	// CallsPerSecond is the expected rate of calls, in calls per second. Absent, it
+	// is unknown.
+	CallsPerSecond float64 `json:"calls_per_second,omitempty" validate:"omitempty,min=0,max=1000000"`
 	// MeasuringPerSecond is the most load reports that the whole system may ask
 	// for, in reports per second. Absent, it is derived from Priority.
 	MeasuringPerSecond *float64 `json:"measuring_per_second,omitempty" validate:"omitempty,min=0,max=10000"`
--- a/internal/questionnaire/propose.go
+++ b/internal/questionnaire/propose.go
@@ -37,7 +37,7 @@
 func Propose(answers *Answers) (*Proposal, error) {
 	proposal := &Proposal{Changes: []Change{}}
 	for i := range answers.Services {
-		service := proposal.service(answers.Team, &answers.Services[i])
+		service := proposal.service(answers, &answers.Services[i])
 		if err := service.Check(); err != nil {
 			return nil, err
 		}
@@ -69,11 +69,13 @@
 	probesPerServerCost = 0.0
 )
 
-func (p *Proposal) service(team string, answers *Service) *config.Service {
+func (p *Proposal) service(all *Answers, answers *Service) *config.Service {
 	service := &config.Service{
-		Name:   answers.Name,
-		Team:   team,
-		Groups: []config.TargetGroup{group(answers)},
+		Name:           answers.Name,
+		Team:           all.Team,
+		EntryVMLimit:   all.EntryVMs,
+		CallsPerSecond: answers.CallsPerSecond,
+		Groups:         []config.TargetGroup{group(answers)},
 	}
 	p.entrySet(answers, service)
 	p.policy(answers, service)
--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -47,7 +47,7 @@
 // The answers give names, agreed slots and connections, and servers; every other
 // value of a configuration is derived.
 func TestEveryDerivedValueHasAReason(t *testing.T) {
-	answered := []string{".name", ".team", ".slots", ".max_connections", ".address", ".zone"}
+	answered := []string{".name", ".team", ".entry_vm_limit", ".calls_per_second", ".slots", ".max_connections", ".address", ".zone"}
 	proposal := propose(t, examples.Swanbrook)
 	reasons := map[string]string{}
 	for _, reason := range proposal.Reasons {
@@ -208,8 +208,8 @@
 
 func TestAskAsksAgainAfterAWrongAnswer(t *testing.T) {
 	input := strings.Join([]string{
-		"swanbrook",
-		"stock", "cost", "soon", "5", "3", "200", "",
+		"swanbrook", "17",
+		"stock", "cost", "soon", "5", "3", "200", "", "",
 		"stock-1", "not an address", "10.20.1.11", "8000", "perth-a", "n",
 		"availability", "250", "awful", "grave", "minor", "none", "", "n",
 		"n",
@@ -217,7 +217,7 @@
 	var prompts bytes.Buffer
 	answers, err := Ask(strings.NewReader(input), &prompts)
 	require.NoError(t, err, prompts.String())
-	require.Equal(t, &Answers{Team: "swanbrook", Services: []Service{{
+	require.Equal(t, &Answers{Team: "swanbrook", EntryVMs: 17, Services: []Service{{
 		Name: "stock", Priority: PriorityCost, TypicalMs: 5, SlotsPerServer: 3, ConnectionsPerServer: 200,
 		Servers:  []Server{{Name: "stock-1", IP: "10.20.1.11", Port: 8000, Zone: "perth-a"}},
 		Requests: []Request{{Name: "availability", AgreedMs: 250, IfLate: HarmGrave, IfLost: HarmMinor, IfDoubled: HarmNone}},
--- a/internal/questionnaire/questions.go
+++ b/internal/questionnaire/questions.go
@@ -16,6 +16,7 @@
 
 var teamQuestions = []question{
 	{field: "team", ask: "Which team owns these services?", explain: "Text. Only this team's answers change them.", example: `"swanbrook"`},
+	{field: "entry_vms", ask: "How many entry VMs run at most at once, those being replaced included?", explain: "Number, 1 to 10000. The measuring budget and the servers' connections are divided by it. Left out, 24.", example: `17`, optional: true},
 }
 
 var serviceQuestions = []question{
@@ -24,6 +25,7 @@
 	{field: "typical_ms", ask: "How long does a server usually take for a request?", explain: "Milliseconds, 1 to 60000. Hedges and queues are timed by it.", example: `5`},
 	{field: "slots_per_server", ask: "How many requests does a server run at once?", explain: "Number, 1 to 10000.", example: `3`},
 	{field: "connections_per_server", ask: "How many connections does a server accept?", explain: "Number, 1 to 100000, from the whole system.", example: `200`},
+	{field: "calls_per_second", ask: "How many calls does the service get in a busy second?", explain: "Calls per second, 0 to 1000000. Busy services get more entry VMs. Left out, unknown.", example: `120`, optional: true},
 	{field: "measuring_per_second", ask: "How many load reports may the whole system ask this service's servers for?", explain: "Reports per second, 0 to 10000; 0 turns measuring off. Left out, it follows from the priority.", example: `8`, optional: true},
 }
 
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -2,6 +2,8 @@
 package docs
 
 import (
+	"context"
+	"encoding/json"
 	"go/ast"
 	"go/parser"
 	"go/token"
@@ -11,8 +13,15 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/daemon"
+	"github.com/poplarwheel/poplarwheel/internal/logging"
+	"github.com/poplarwheel/poplarwheel/internal/loopback"
+	"github.com/poplarwheel/poplarwheel/internal/settings"
 )
 
 const root = "../.."
@@ -120,3 +129,47 @@
 	})
 	require.NoError(t, err)
 }
+
+// The page of metrics and the dump is compared with what a daemon shows.
+func TestObservabilityPageNamesEveryMetricAndField(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "operators", "observability.md"))
+	require.NoError(t, err)
+	reserved, err := loopback.Reserve()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = reserved.Release() })
+	s := settings.Default()
+	s.Name, s.IP, s.Region, s.Zone = "entry-1", reserved.Host(1), "perth", "perth-a"
+	s.Platform, s.PeerKey, s.KeepSeconds = reserved.Host(2)+":7000", "key of the page's test", 1
+	ctx, cancel := context.WithCancel(t.Context())
+	stopped := make(chan error, 1)
+	go func() { stopped <- daemon.New(s, logging.Discard()).Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-stopped)
+	})
+
+	for _, line := range strings.Split(get(t, s, daemon.PathMetrics), "\n") {
+		if name, ok := strings.CutPrefix(line, "# TYPE poplarwheel_"); ok {
+			name, _, _ = strings.Cut(name, " ")
+			require.Contains(t, string(page), "`poplarwheel_"+name+"`")
+		}
+	}
+	var fields map[string]json.RawMessage
+	require.NoError(t, json.Unmarshal([]byte(get(t, s, daemon.PathDump)), &fields))
+	require.NotEmpty(t, fields)
+	for field := range fields {
+		require.Contains(t, string(page), "`"+field+"`")
+	}
+}
+
+// get reads a path of the admin port as soon as it answers.
+func get(t *testing.T, s *settings.Settings, path string) string {
+	t.Helper()
+	var body []byte
+	require.Eventually(t, func() bool {
+		status, answer, err := fasthttp.GetTimeout(nil, "http://"+s.AdminAddress()+path, time.Second)
+		body = answer
+		return err == nil && status == fasthttp.StatusOK
+	}, 20*time.Second, 20*time.Millisecond)
+	return string(body)
+}
