--- a/client/exchange.go
+++ b/client/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -26,31 +27,18 @@
 // ctx is done. The library's own calls are not used because they can't be
 // canceled. Errors are *NotSentError and *LostError.
 func (c *Client) exchange(ctx context.Context, address string, timeout time.Duration, request *fasthttp.Request, response *fasthttp.Response) error {
-	host := c.host(address)
-	deadline := time.Now().Add(timeout)
 	if err := ctx.Err(); err != nil {
 		return &NotSentError{Entry: address, Cause: err}
 	}
+	deadline := time.Now().Add(timeout)
+	host := c.host(address)
 	acquired, err := host.AcquireConn(timeout, false)
 	if err != nil {
 		return &NotSentError{Entry: address, Cause: err}
 	}
 	conn := acquired.Conn()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	err = conn.SetDeadline(deadline)
-	if err == nil {
-		writer := host.AcquireWriter(conn)
-		err = request.Write(writer)
-		if err == nil {
-			err = writer.Flush()
-		}
-		host.ReleaseWriter(writer)
-	}
-	if err == nil {
-		reader := host.AcquireReader(conn)
-		err = response.ReadLimitBody(reader, maxAnswerBytes)
-		host.ReleaseReader(reader)
-	}
+	err = roundTrip(host, conn, deadline, request, response)
 	if canceled := !stop(); canceled || err != nil || response.ConnectionClose() {
 		host.CloseConn(acquired)
 	} else {
@@ -61,3 +49,21 @@
 	}
 	return nil
 }
+
+// roundTrip writes a request and reads its answer.
+func roundTrip(host *fasthttp.HostClient, conn net.Conn, deadline time.Time, request *fasthttp.Request, response *fasthttp.Response) error {
+	if err := conn.SetDeadline(deadline); err != nil {
+		return err
+	}
+	writer := host.AcquireWriter(conn)
+	defer host.ReleaseWriter(writer)
+	if err := request.Write(writer); err != nil {
+		return err
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	reader := host.AcquireReader(conn)
+	defer host.ReleaseReader(reader)
+	return response.ReadLimitBody(reader, maxAnswerBytes)
+}
--- a/test/e2e/observe_test.go
+++ b/test/e2e/observe_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"encoding/json"
 	"net"
 	"regexp"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/poplarwheel/poplarwheel/client"
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
+	"github.com/poplarwheel/poplarwheel/internal/load"
 )
 
 const calls = 40
@@ -44,6 +46,25 @@
 	require.Equal(t, float64(calls), attempts)
 }
 
+func TestLoadReportsPercentiles(t *testing.T) {
+	f := startFleet(t, 2, 3)
+	f.waitRevision(t, f.accept(t, f.answers()))
+	var report load.Report
+	output := f.run(t, nil, "load", "--entries", f.entryAddress(0)+","+f.entryAddress(1), "--service", "stock", "--type", "book",
+		"--once", "--resends", "3", "--rate", "100", "--duration", "1s", "--within-ms", "5000", "--arrivals", "constant", "--json")
+	require.NoError(t, json.Unmarshal(output, &report))
+	require.Equal(t, int64(99), report.Calls)
+	require.Equal(t, report.Calls, report.Outcomes[client.Ran])
+	require.Zero(t, report.Wrong)
+	require.Positive(t, report.LatencyMs.P50)
+	require.GreaterOrEqual(t, report.LatencyMs.P99, report.LatencyMs.P50)
+	runs := 0
+	for i := range f.targets {
+		runs += len(f.journal(t, i))
+	}
+	require.Equal(t, 99, runs)
+}
+
 func (f *fleet) metrics(t *testing.T, i int) string {
 	t.Helper()
 	url := "http://" + net.JoinHostPort(f.entries[i], adminPort) + daemon.PathMetrics
