--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -52,7 +52,7 @@
 	EntrySetSize int `json:"entry_set_size" validate:"min=1,max=17"`
 	// EntryVMLimit is the largest number of entry VMs that can run at once, those
 	// being replaced included. The measuring budget and the targets' connections
-	// are divided by it. 0 means DefaultEntryVMLimit.
+	// are divided by it. 0 means DefaultEntryVMLimit, 24.
 	EntryVMLimit int `json:"entry_vm_limit,omitempty" validate:"min=0,max=10000"`
 	// CallsPerSecond is the expected rate of calls to the service; busy services
 	// get more entry VMs. 0 means unknown.
