Test configuration, membership, leaving and outages with processes

Cause: the failure matters had tests of their parts only.

The client closes connections that were idle for half of the keep time, so that no request meets a close.

--- a/client/directory.go
+++ b/client/directory.go
@@ -97,6 +97,13 @@
 	return d.current, nil
 }
 
+// keep returns how long the last answer may be kept; 0 before the first.
+func (d *directory) keep() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.current.Keep
+}
+
 // candidates returns the entry VMs to ask: those of the last answer, then the
 // bootstrap list.
 func (d *directory) candidates() []string {
--- a/client/exchange.go
+++ b/client/exchange.go
@@ -12,16 +12,40 @@
 
 // host returns the connections to the entry VM at address.
 func (c *Client) host(address string) *fasthttp.HostClient {
+	idle := c.idleLimit()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	host, ok := c.hosts[address]
-	if !ok {
-		host = &fasthttp.HostClient{Addr: address, MaxConns: c.options.MaxConnections}
-		c.hosts[address] = host
+	if ok && host.MaxIdleConnDuration == idle {
+		return host
 	}
+	if ok {
+		host.CloseIdleConnections()
+	}
+	host = &fasthttp.HostClient{Addr: address, MaxConns: c.options.MaxConnections, MaxIdleConnDuration: idle}
+	c.hosts[address] = host
 	return host
 }
 
+const (
+	// firstIdleLimit bounds the idle time of connections before the first answer
+	// to the question which entry VMs to use.
+	firstIdleLimit = 500 * time.Millisecond
+	// idleShare is the part of the keep time for which connections stay idle.
+	idleShare = 0.5
+)
+
+// idleLimit is how long an idle connection is kept. An entry VM that shuts down
+// closes connections that were idle for the keep time, and no request may be
+// sent on one of these.
+func (c *Client) idleLimit() time.Duration {
+	keep := c.directory.keep()
+	if keep == 0 {
+		return firstIdleLimit
+	}
+	return time.Duration(float64(keep) * idleShare)
+}
+
 // exchange sends a request and reads its answer, once, within timeout and until
 // ctx is done. The library's own calls are not used because they can't be
 // canceled. Errors are *NotSentError and *LostError.
--- a/internal/rollout/loader.go
+++ b/internal/rollout/loader.go
@@ -13,7 +13,7 @@
 	// bodyReadsPerSecond bounds a daemon's reads of bodies from the platform.
 	bodyReadsPerSecond = 60
 	// bodyReadBurst is the number of bodies read without a pause.
-	bodyReadBurst = 20
+	bodyReadBurst = 4
 	// peerBatch is the number of missing bodies from which peers are asked first.
 	peerBatch = 8
 )
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -16,6 +16,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
 	"github.com/poplarwheel/poplarwheel/internal/loopback"
+	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/standin/platformd"
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
@@ -136,6 +137,7 @@
 		"zone":     Zone(i),
 		"platform": f.Platform,
 		"peer_key": peerKey,
+		"peers":    f.seeds(),
 	}
 	for field, value := range f.options.Settings {
 		settings[field] = value
@@ -154,6 +156,18 @@
 	return f.StartProcess(name, "entry", "--settings", path)
 }
 
+// seedCount is the number of entry VMs that settings name as peers.
+const seedCount = 3
+
+// seeds returns the IPs of the first entry VMs.
+func (f *Fleet) seeds() []string {
+	var ips []string
+	for i := range min(seedCount, f.options.Entries) {
+		ips = append(ips, f.entryIP(i))
+	}
+	return ips
+}
+
 // EntryName returns the VM name of entry daemon i.
 func EntryName(i int) string { return fmt.Sprintf("entry-%d", i) }
 
@@ -240,12 +254,12 @@
 }
 
 // AwaitRevision waits until every entry daemon has applied a revision and sees
-// every entry VM.
+// every entry VM live.
 func (f *Fleet) AwaitRevision(revision uint64) error {
 	for i := range f.options.Entries {
 		err := Await(fmt.Sprintf("revision %d at %s", revision, EntryName(i)), func() bool {
 			dump, err := f.Dump(i)
-			return err == nil && dump.Revision >= revision && len(dump.Members) >= f.options.Entries
+			return err == nil && dump.Revision >= revision && liveMembers(dump) >= f.options.Entries
 		})
 		if err != nil {
 			return err
@@ -254,6 +268,23 @@
 	return nil
 }
 
+func liveMembers(dump daemon.Dump) int {
+	live := 0
+	for _, member := range dump.Members {
+		if member.State == membership.Live {
+			live++
+		}
+	}
+	return live
+}
+
+// PlatformCounts returns the calls that the platform received.
+func (f *Fleet) PlatformCounts() (platformd.Counts, error) {
+	var counts platformd.Counts
+	err := get("http://"+f.Platform+platformd.PathControlCounts, &counts)
+	return counts, err
+}
+
 // settleTimeout bounds every wait for a condition.
 const settleTimeout = 30 * time.Second
 
@@ -305,10 +336,3 @@
 	err := get("http://"+f.AdminAddress(i)+daemon.PathReady, &ready)
 	return ready, err
 }
-
-// PlatformCounts returns the calls that the platform received.
-func (f *Fleet) PlatformCounts() (platformd.Counts, error) {
-	var counts platformd.Counts
-	err := get("http://"+f.Platform+platformd.PathControlCounts, &counts)
-	return counts, err
-}
