--- a/test/cluster/leaving_test.go
+++ b/test/cluster/leaving_test.go
@@ -19,16 +19,14 @@
 type load struct {
 	client *client.Client
 	stop   context.CancelFunc
-	// bookings makes every fourth call a booking.
-	bookings bool
-	done     sync.WaitGroup
+	done   sync.WaitGroup
 
 	mu       sync.Mutex
 	calls    int
 	problems []string
 }
 
-// startLoad makes calls until end. The callers pause
+// startLoad makes calls, every fourth one a booking, until end. The callers pause
 // so that connections are idle at times.
 func startLoad(f *fleet.Fleet, callers int) *load {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -46,7 +44,7 @@
 
 func (l *load) call(caller, i int) {
 	request := client.Request{Type: "availability", Path: "/", Body: fmt.Appendf(nil, "%d-%d", caller, i), Timeout: 5 * time.Second}
-	if l.bookings && i%4 == 0 {
+	if i%4 == 0 {
 		key, err := l.client.NewKey()
 		if err != nil {
 			l.note(fmt.Sprintf("key: %v", err))
