Take failing, slow and leaving targets out, within bounds

Cause: a target that fails fast has few attempts in flight and drew most calls; a target that says nothing while it leaves was noticed by its answers alone; nothing brought a leaving target back; new targets took a full share at once. Ruled out: fixed error rates, standard deviations, load reports as signs, healthy checks as a reason to take a target back (docs/design/ejection.md, leaving-targets.md). Change: package outlier judges targets against their peers; at most a third of a group, rounded up, is out. Failures rest a target for as long as a good answer takes. Signs of leaving are kept apart and taken back only for a new process. Health checks within a budget, through the connection limit. Each change of state is logged and shown in the dump.

--- a/internal/dispatch/call.go
+++ b/internal/dispatch/call.go
@@ -59,3 +59,10 @@
 		}
 	}
 }
+
+// expireAttempts marks the live attempts as ended by the deadline.
+func (c *Call) expireAttempts() {
+	for _, attempt := range c.state.live {
+		attempt.expired = true
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -80,6 +80,8 @@
 	cost     int
 	handed   int
 	canceled bool
+	// expired is set when the call's deadline ended the attempt.
+	expired bool
 }
 
 // Allowance is the number of attempts that each call below this attempt may
@@ -109,6 +111,8 @@
 	Leaving bool
 	// Load is the load report on the answer.
 	Load balancer.Report
+	// Unreachable is set when the target took no connection.
+	Unreachable bool
 	// SpentBelow is the number of further attempts that the target reports for the
 	// calls below. Nothing is given back without a report.
 	SpentBelow int
--- /dev/null
+++ b/internal/dispatch/health_test.go
@@ -0,0 +1,149 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const work = 10 * time.Millisecond
+
+// failFast sends calls a millisecond apart to targets of which the first fails
+// at once, and returns how many attempts that one got.
+func failFast(t *testing.T, s *Scheduler, calls int) int {
+	t.Helper()
+	type running struct {
+		attempt *Attempt
+		until   time.Time
+	}
+	var live []running
+	failed := 0
+	now := start
+	for id := range uint64(calls) {
+		now = now.Add(time.Millisecond)
+		for len(live) > 0 && !live[0].until.After(now) {
+			s.Finished(now, live[0].attempt, Result{Kind: Answered, Answer: "good"})
+			live = live[1:]
+		}
+		call := testCall(id, read())
+		call.Deadline = now.Add(time.Second)
+		actions := s.Arrive(now, call)
+		for len(actions) > 0 && actions[0].Kind == Start {
+			attempt := actions[0].Attempt
+			if attempt.Target.Name != "target-0" {
+				live = append(live, running{attempt: attempt, until: now.Add(work)})
+				break
+			}
+			failed++
+			actions = s.Finished(now, attempt, Result{Kind: Answered, ServerError: true, Answer: "failed"})
+		}
+	}
+	return failed
+}
+
+func TestFastFailingTargetDoesNotLookIdle(t *testing.T) {
+	s := testScheduler(t, testService(4))
+	const calls = 2000
+	failed := failFast(t, s, calls)
+	t.Logf("attempts at the failing target: %d of %d calls", failed, calls)
+	require.Less(t, failed, calls/20)
+}
+
+func TestLeavingTargetGetsNothing(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	first := only(t, s.Arrive(start, testCall(1, read())), Start).Attempt
+	s.Finished(start, first, Result{Kind: Answered, Leaving: true, Answer: "last"})
+	s.SetLeaving(first.Target.Name, false)
+	for id := range uint64(10) {
+		attempt := only(t, s.Arrive(start, testCall(10+id, read())), Start).Attempt
+		require.NotEqual(t, first.Target.Name, attempt.Target.Name)
+	}
+	require.Equal(t, []string{first.Target.Name}, s.LeavingByAnswer())
+}
+
+func TestNoTargetIsLeftOnceAllLeave(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	s.SetLeaving("target-0", true)
+	s.SetLeavingByPeer("target-1")
+	require.Equal(t, ReasonNoTarget, only(t, s.Arrive(start, testCall(1, read())), Refuse).Reason)
+}
+
+func checked(s *Scheduler, name string, result CheckResult) {
+	s.Checked(start, Check{Name: name, Target: s.targets.byName[name].Target}, result)
+}
+
+func TestReplacedProcessReturnsCold(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	s.SetLeavingByPeer("target-0")
+	checked(s, "target-0", CheckHealthy)
+	require.True(t, s.Targets()[0].Leaving, "health may lie")
+	checked(s, "target-0", CheckUnreachable)
+	require.True(t, s.Targets()[0].Leaving)
+	checked(s, "target-0", CheckHealthy)
+	require.False(t, s.Targets()[0].Leaving)
+	require.Equal(t, TargetCold, s.Statuses(start)[0].State)
+}
+
+func TestUnhealthyTargetsAreLeftOutUpToTheBound(t *testing.T) {
+	s := testScheduler(t, testService(6))
+	unhealthy := func(names ...string) {
+		for range 2 {
+			for _, name := range names {
+				checked(s, name, CheckUnhealthy)
+			}
+		}
+	}
+	used := func() map[string]bool {
+		names := map[string]bool{}
+		for id := range uint64(60) {
+			call := testCall(id, read())
+			attempt := only(t, s.Arrive(start, call), Start).Attempt
+			names[attempt.Target.Name] = true
+		}
+		return names
+	}
+	unhealthy("target-0", "target-1")
+	require.Len(t, used(), 4)
+	unhealthy("target-2", "target-3", "target-4", "target-5")
+	require.Len(t, used(), 6)
+}
+
+func TestHealthChecksStayWithinTheirBudget(t *testing.T) {
+	s := testScheduler(t, testService(100))
+	s.Arrive(start, testCall(1, read()))
+	checks := 0
+	const seconds = 20
+	for tick := range seconds * 4 {
+		checks += len(s.ChecksDue(start.Add(time.Duration(tick)*250*time.Millisecond), 25))
+	}
+	require.LessOrEqual(t, checks, seconds*int(checksPerSecond)+int(checkBurst))
+	require.Empty(t, s.ChecksDue(start.Add(time.Hour), 25), "a service without calls isn't checked")
+}
+
+func TestAddedTargetStartsSlowly(t *testing.T) {
+	s := testScheduler(t, testService(2))
+	require.NoError(t, s.Configure(testService(3)))
+	for id := range uint64(30) {
+		only(t, s.Arrive(start, testCall(id, read())), Start)
+	}
+	require.Equal(t, 1, s.Targets()[2].InFlight)
+}
+
+func TestSilentTargetCountsAsFailing(t *testing.T) {
+	s := testScheduler(t, testService(4))
+	s.service.observe(work)
+	for id := range uint64(200) {
+		now := start.Add(time.Duration(id) * time.Second)
+		call := testCall(id, read())
+		call.Deadline = now.Add(time.Second)
+		attempt := only(t, s.Arrive(now, call), Start).Attempt
+		if attempt.Target.Name == "target-0" {
+			s.Expire(call.Deadline)
+			s.Finished(call.Deadline, attempt, Result{Kind: Lost})
+			continue
+		}
+		s.Finished(now.Add(work), attempt, Result{Kind: Answered, Answer: "good"})
+	}
+	require.Equal(t, "failing", s.Statuses(start)[0].Reason)
+}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/balancer"
+	"github.com/poplarwheel/poplarwheel/internal/outlier"
 )
 
 // candidates are the targets that an attempt may go to.
@@ -23,22 +24,91 @@
 }
 
 // pick returns the target of the call's next attempt, nil if there is none.
-// With onlyFree, busy targets don't count.
+// With onlyFree, busy targets don't count. Targets that are out count only if no
+// other does, and never with onlyFree.
 func (s *Scheduler) pick(now time.Time, call *Call, onlyFree bool) *member {
 	s.scratch.reset()
-	for _, m := range s.targets.members {
-		if m.Leaving || !m.HasConnection() || call.hasTried(m.Target) {
+	for _, g := range s.targets.groups {
+		s.scratch.addUsable(now, call, g, onlyFree)
+	}
+	if len(s.scratch.targets) == 0 && !onlyFree {
+		s.scratch.addLive(call, s.targets.members)
+	}
+	if len(s.scratch.targets) == 0 {
+		return nil
+	}
+	return s.scratch.memberOf(s.policy.Pick(now, s.rng, s.scratch.targets))
+}
+
+// addUsable adds the targets of a group that are in and have room.
+func (c *candidates) addUsable(now time.Time, call *Call, g *group, onlyFree bool) {
+	exclusion := g.exclusion(now)
+	for _, m := range g.members {
+		if m.Leaving || !m.HasConnection() || call.hasTried(m.Target) || exclusion.covers(now, m) {
 			continue
 		}
-		if onlyFree && !m.free(now) {
+		if (onlyFree || m.health.Cold()) && !m.free(now) {
 			continue
 		}
-		s.scratch.add(m)
+		c.add(m)
 	}
-	if len(s.scratch.targets) == 0 {
-		return nil
+}
+
+// addLive adds every target that isn't leaving.
+func (c *candidates) addLive(call *Call, members []*member) {
+	for _, m := range members {
+		if !m.Leaving && m.HasConnection() && !call.hasTried(m.Target) {
+			c.add(m)
+		}
 	}
-	return s.scratch.memberOf(s.policy.Pick(now, s.rng, s.scratch.targets))
+}
+
+// exclusion says which targets of a group are left out.
+type exclusion int
+
+const (
+	// excludeOut leaves out ejected, resting and unhealthy targets.
+	excludeOut exclusion = iota
+	// excludeEjected leaves out ejected targets.
+	excludeEjected
+	// excludeNone leaves out none: too many targets seem bad to believe it.
+	excludeNone
+)
+
+// exclusion returns the widest exclusion that leaves enough of the group in.
+func (g *group) exclusion(now time.Time) exclusion {
+	live, out, ejected := 0, 0, 0
+	for _, m := range g.members {
+		if m.Leaving {
+			continue
+		}
+		m.health.Advance(now)
+		live++
+		if m.health.Out(now) {
+			out++
+		}
+		if m.health.Ejected(now) {
+			ejected++
+		}
+	}
+	bound := outlier.MaxOut(live)
+	switch {
+	case out <= bound:
+		return excludeOut
+	case ejected <= bound:
+		return excludeEjected
+	}
+	return excludeNone
+}
+
+func (e exclusion) covers(now time.Time, m *member) bool {
+	switch e {
+	case excludeOut:
+		return m.health.Out(now)
+	case excludeEjected:
+		return m.health.Ejected(now)
+	}
+	return false
 }
 
 func (c *candidates) memberOf(target *balancer.Target) *member {
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -23,6 +23,11 @@
 	nextID  uint64
 	actions []Action
 	scratch candidates
+	changes []Change
+
+	calledAt    time.Time
+	checkedAt   time.Time
+	checkCredit float64
 }
 
 // NewScheduler returns a scheduler without targets.
@@ -58,14 +63,6 @@
 // Queued returns the number of calls that wait for a free slot.
 func (s *Scheduler) Queued() int { return s.queue.length }
 
-// SetLeaving marks a target as leaving or back. The driver calls Expire
-// afterwards.
-func (s *Scheduler) SetLeaving(name string, leaving bool) {
-	if m := s.targets.byName[name]; m != nil {
-		m.Leaving = leaving
-	}
-}
-
 // Arrive starts a call. A call that was abandoned before gets no actions. The
 // returned actions are valid until the next event.
 func (s *Scheduler) Arrive(now time.Time, call *Call) []Action {
@@ -74,6 +71,7 @@
 		return s.actions
 	}
 	call.state.arrived = now
+	s.calledAt = now
 	call.state.allowance = newAllowance(max(call.limit()-1, 0))
 	s.retries.earn()
 	s.hedges.earn()
@@ -115,6 +113,7 @@
 func (s *Scheduler) Finished(now time.Time, attempt *Attempt, result Result) []Action {
 	s.actions = s.actions[:0]
 	s.learn(now, attempt, result)
+	s.note(now, attempt.member)
 	s.targets.release(attempt.member)
 	call := attempt.Call
 	call.removeAttempt(attempt)
@@ -124,17 +123,6 @@
 	return s.actions
 }
 
-// learn takes over what an attempt tells of its target.
-func (s *Scheduler) learn(now time.Time, attempt *Attempt, result Result) {
-	attempt.Target.Ended(now, attempt.sample(result))
-	if result.Leaving {
-		attempt.Target.Leaving = true
-	}
-	if result.Kind == Answered && !result.ServerError {
-		s.service.observe(now.Sub(attempt.Started))
-	}
-}
-
 // conclude goes on with a call after the end of an attempt.
 func (s *Scheduler) conclude(now time.Time, call *Call, result Result) {
 	if call.state.done {
@@ -204,6 +192,7 @@
 		s.wake(now, s.timers[0])
 	}
 	s.drain(now)
+	s.noteAll(now)
 	return s.actions
 }
 
@@ -213,6 +202,7 @@
 		return
 	}
 	if !call.Deadline.After(now) {
+		call.expireAttempts()
 		s.giveUp(call, ReasonDeadline)
 		return
 	}
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -25,6 +25,7 @@
 	return &config.Service{
 		Name:         "stock",
 		EntrySetSize: 1,
+		EntryVMLimit: 1,
 		Policy:       config.PolicyLeast,
 		RetryShare:   0.1,
 		HedgeShare:   1,
--- a/internal/dispatch/targets.go
+++ b/internal/dispatch/targets.go
@@ -14,6 +14,7 @@
 // configuration that have attempts in flight.
 type targetSet struct {
 	members []*member
+	groups  []*group
 	list    []*balancer.Target
 	byName  map[string]*member
 	retired map[targetKey]*member
@@ -29,11 +30,13 @@
 	for _, m := range t.members {
 		t.retired[m.key()] = m
 	}
+	grown := len(t.members) > 0
 	t.members = nil
+	t.groups = nil
 	t.list = nil
 	t.byName = map[string]*member{}
 	for i := range service.Groups {
-		t.addGroup(service, &service.Groups[i])
+		t.addGroup(service, &service.Groups[i], grown)
 	}
 	for key, m := range t.retired {
 		if m.InFlight == 0 {
@@ -42,23 +45,37 @@
 	}
 }
 
-func (t *targetSet) addGroup(service *config.Service, group *config.TargetGroup) {
-	for _, configured := range group.Targets {
+// addGroup adds the targets of one group. With grown, those that are new to a
+// service that runs start cold.
+func (t *targetSet) addGroup(service *config.Service, configuredGroup *config.TargetGroup, grown bool) {
+	g := &group{}
+	t.groups = append(t.groups, g)
+	for _, configured := range configuredGroup.Targets {
 		key := targetKey{name: configured.Name, address: configured.Address}
 		m := t.retired[key]
 		if m == nil {
-			m = &member{Target: &balancer.Target{Name: configured.Name, Address: configured.Address}}
+			m = newMember(configured, grown)
 		}
 		delete(t.retired, key)
 		m.Zone = configured.Zone
-		m.Slots = group.Slots
-		m.MaxConnections = entryset.ConnectionShare(group.MaxConnections, service.EntryVMs())
+		m.Slots = configuredGroup.Slots
+		m.MaxConnections = entryset.ConnectionShare(configuredGroup.MaxConnections, service.EntryVMs())
+		m.group = g
+		g.members = append(g.members, m)
 		t.byName[m.Name] = m
 		t.members = append(t.members, m)
 		t.list = append(t.list, m.Target)
 	}
 }
 
+func newMember(configured config.Target, cold bool) *member {
+	m := &member{Target: &balancer.Target{Name: configured.Name, Address: configured.Address}}
+	if cold {
+		m.health.Restart()
+	}
+	return m
+}
+
 // release counts the end of an attempt.
 func (t *targetSet) release(m *member) {
 	m.InFlight--
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -30,6 +30,8 @@
 	LeavingGetsNothing Name = "leaving_gets_nothing"
 	// RetryBudget: retries and hedges stay within their budgets.
 	RetryBudget Name = "retry_budget"
+	// EjectionBounded: only a bounded share of a group is ejected.
+	EjectionBounded Name = "ejection_bounded"
 	// QueueBounded: the calls that wait for a free slot stay within their bound.
 	QueueBounded Name = "queue_bounded"
 	// InFlightBalanced: counts of attempts in flight never fall below zero.
--- /dev/null
+++ b/internal/outlier/outlier.go
@@ -0,0 +1,283 @@
+// Package outlier judges targets by their answers in comparison with their
+// peers, and says which of them get fewer attempts or none for a while.
+//
+// The judgements are plain code: time is passed in. They are bounded: whatever
+// the signs say, only a share of a group is ejected.
+package outlier
+
+import (
+	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/invariant"
+)
+
+// Reason says why a target is ejected.
+type Reason string
+
+// Reasons.
+const (
+	// Failing targets answer with failures or lose answers while peers don't.
+	Failing Reason = "failing"
+	// Unreachable targets accept no connections.
+	Unreachable Reason = "unreachable"
+	// Slow targets take several times as long as their peers.
+	Slow Reason = "slow"
+)
+
+// Failure is the kind of a failed attempt.
+type Failure int
+
+// Kinds of failures.
+const (
+	// ServerError is an answer that reports a failure.
+	ServerError Failure = iota
+	// NoAnswer is an attempt without a whole answer.
+	NoAnswer
+	// NoConnection is a connection that could not be opened.
+	NoConnection
+)
+
+const (
+	// shareWeight is the weight of one attempt in the share of failures.
+	shareWeight = 0.1
+	// latencyWeight is the weight of one answer in the mean latency.
+	latencyWeight = 0.05
+	// failingRun is the number of consecutive failures that ejects a target.
+	failingRun = 5
+	// unreachableRun is the number of consecutive refused connections that ejects
+	// a target.
+	unreachableRun = 2
+	// coldRun is the number of consecutive failures that ejects a cold target.
+	coldRun = 2
+	// failingShare is the share of failures that ejects a target, after
+	// minObservations.
+	failingShare = 0.5
+	// peerShare is the median share of the peers' failures above which failures
+	// aren't held against a target.
+	peerShare = 0.25
+	// minObservations is the number of attempts before a share counts.
+	minObservations = 10
+	// minSamples is the number of answers before a mean latency counts.
+	minSamples = 20
+	// slowFactor times the peers' median latency is slow.
+	slowFactor = 3
+	// warmFactor times the peers' median latency is warm.
+	warmFactor = 2
+	// slowMargin is the least difference to the peers that is slow.
+	slowMargin = 5 * time.Millisecond
+	// coldAnswers is the number of good answers after which a cold target is
+	// judged, and gets one more attempt at a time.
+	coldAnswers = 5
+	// baseEjection is the length of a first ejection. It doubles each time.
+	baseEjection = time.Second
+	// maxEjection bounds the length of an ejection.
+	maxEjection = 30 * time.Second
+	// maxRest bounds the rest after a failure.
+	maxRest = time.Second
+	// unhealthyRun is the number of consecutive unhealthy checks that counts.
+	unhealthyRun = 2
+	// maxOutDivisor gives the part of a group that may be out at a time, rounded
+	// up: one availability zone of three.
+	maxOutDivisor = 3
+)
+
+// Target is the record of one target. Its zero value is a warm target of which
+// nothing is known.
+type Target struct {
+	failures     float64
+	observations int
+	run          int
+	refusedRun   int
+	latency      time.Duration
+	samples      int
+	ejections    int
+	ejectedUntil time.Time
+	reason       Reason
+	restUntil    time.Time
+	unhealthy    int
+	cold         bool
+	good         int
+}
+
+// Ejected reports whether the target is ejected.
+func (t *Target) Ejected(now time.Time) bool { return now.Before(t.ejectedUntil) }
+
+// Reason returns why the target was last ejected.
+func (t *Target) Reason() Reason { return t.reason }
+
+// Resting reports whether the target has failed so recently that it would still
+// be at work on a good answer. A target that fails fast looks idle otherwise.
+func (t *Target) Resting(now time.Time) bool { return now.Before(t.restUntil) }
+
+// Unhealthy reports whether the latest health checks say so.
+func (t *Target) Unhealthy() bool { return t.unhealthy >= unhealthyRun }
+
+// Out reports whether the target should get nothing while the group's bound
+// allows it.
+func (t *Target) Out(now time.Time) bool {
+	return t.Ejected(now) || t.Resting(now) || t.Unhealthy()
+}
+
+// Cold reports whether the target is in slow start.
+func (t *Target) Cold() bool { return t.cold }
+
+// Latency returns the mean latency of good answers.
+func (t *Target) Latency() time.Duration { return t.latency }
+
+// Limit bounds the attempts at the target during slow start.
+func (t *Target) Limit(full int) int {
+	if !t.cold {
+		return full
+	}
+	return min(full, 1+t.good/coldAnswers)
+}
+
+// Restart makes the target cold and forgets its answers so far.
+func (t *Target) Restart() {
+	*t = Target{cold: true, ejections: t.ejections, reason: t.reason, unhealthy: t.unhealthy}
+}
+
+// Advance ends an ejection whose time is over: the target returns cold.
+func (t *Target) Advance(now time.Time) {
+	if !t.ejectedUntil.IsZero() && !t.Ejected(now) {
+		t.Restart()
+	}
+}
+
+// Check takes the result of a health check that was answered.
+func (t *Target) Check(healthy bool) {
+	if healthy {
+		t.unhealthy = 0
+		return
+	}
+	t.unhealthy++
+}
+
+// Group is the targets that are judged together: those of one group that aren't
+// leaving.
+type Group []*Target
+
+// MaxOut returns how many targets of a group of the given size may be out.
+func MaxOut(size int) int {
+	if size < 2 {
+		return 0
+	}
+	return (size + maxOutDivisor - 1) / maxOutDivisor
+}
+
+// Good takes a good answer of a target of the group.
+func (g Group) Good(now time.Time, t *Target, took time.Duration) {
+	g.observe(now, t, 0)
+	t.run = 0
+	t.refusedRun = 0
+	t.good++
+	t.sample(took)
+	g.judgeLatency(now, t)
+}
+
+// Overtaken takes the age of an attempt that was canceled without an answer:
+// a lower bound of its latency.
+func (g Group) Overtaken(now time.Time, t *Target, age time.Duration) {
+	if age <= t.latency {
+		return
+	}
+	t.sample(age)
+	g.judgeLatency(now, t)
+}
+
+// Failed takes a failure of a target of the group. Typical is the service time
+// of a good answer.
+func (g Group) Failed(now time.Time, t *Target, failure Failure, typical time.Duration) {
+	g.observe(now, t, 1)
+	t.run++
+	t.rest(now, typical)
+	if failure == NoConnection {
+		t.refusedRun++
+	} else {
+		t.refusedRun = 0
+	}
+	g.judgeFailures(now, t)
+}
+
+// Shed takes a refusal because the target has no room. Typical is the service time
+// of a good answer.
+func (t *Target) Shed(now time.Time, typical time.Duration) {
+	t.restUntil = now.Add(min(typical, maxRest))
+}
+
+// rest takes the target out for as long as good answers would have taken; twice
+// as long for each further failure in a row.
+func (t *Target) rest(now time.Time, typical time.Duration) {
+	length := typical << min(t.run-1, failingRun)
+	t.restUntil = now.Add(min(length, maxRest))
+}
+
+// observe counts an attempt; failed is 0 or 1.
+func (g Group) observe(now time.Time, t *Target, failed float64) {
+	t.Advance(now)
+	t.observations++
+	weight := max(shareWeight, 1/float64(t.observations))
+	t.failures += weight * (failed - t.failures)
+}
+
+func (t *Target) sample(took time.Duration) {
+	t.samples++
+	weight := max(latencyWeight, 1/float64(t.samples))
+	t.latency += time.Duration(weight * float64(took-t.latency))
+}
+
+func (g Group) judgeFailures(now time.Time, t *Target) {
+	switch {
+	case t.refusedRun >= unreachableRun:
+		g.eject(now, t, Unreachable)
+	case g.peersFail(t):
+	case t.run >= failingRun, t.cold && t.run >= coldRun:
+		g.eject(now, t, Failing)
+	case t.observations >= minObservations && t.failures > failingShare:
+		g.eject(now, t, Failing)
+	}
+}
+
+// judgeLatency ejects slow targets and ends the slow start of others.
+func (g Group) judgeLatency(now time.Time, t *Target) {
+	needed := minSamples
+	if t.cold {
+		needed = coldAnswers
+	}
+	if t.samples < needed {
+		return
+	}
+	typical, known := g.peerLatency(t)
+	if known && t.latency > typical*slowFactor && t.latency > typical+slowMargin {
+		g.eject(now, t, Slow)
+		return
+	}
+	if t.cold && t.good >= coldAnswers && (!known || t.latency <= typical*warmFactor) {
+		t.cold = false
+		t.ejections = max(t.ejections-1, 0)
+	}
+}
+
+// eject takes a target out, unless the group's bound is reached.
+func (g Group) eject(now time.Time, t *Target, reason Reason) {
+	if t.Ejected(now) || g.out(now) >= MaxOut(len(g)) {
+		return
+	}
+	length := min(baseEjection<<min(t.ejections, 10), maxEjection)
+	t.ejections++
+	t.reason = reason
+	t.ejectedUntil = now.Add(length)
+	invariant.Check(g.out(now) <= MaxOut(len(g)), invariant.EjectionBounded,
+		"%d of %d targets are ejected", g.out(now), len(g))
+}
+
+// out counts the ejected targets.
+func (g Group) out(now time.Time) int {
+	count := 0
+	for _, t := range g {
+		if t.Ejected(now) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -37,7 +37,7 @@
 func (p *Proxy) resultOf(response *fasthttp.Response, err error) dispatch.Result {
 	var notSent *targetclient.NotSentError
 	if errors.As(err, &notSent) {
-		return dispatch.Result{Kind: dispatch.NotRun}
+		return dispatch.Result{Kind: dispatch.NotRun, Unreachable: unreachable(notSent)}
 	}
 	if err != nil {
 		return dispatch.Result{Kind: dispatch.Lost}
@@ -56,6 +56,13 @@
 	return result
 }
 
+// unreachable reports whether the target took no connection, in contrast to this
+// daemon's own reasons for not sending.
+func unreachable(err *targetclient.NotSentError) bool {
+	var limit *targetclient.ConnectionLimitError
+	return !errors.Is(err, targetclient.ErrCanceled) && !errors.As(err, &limit)
+}
+
 // spentBelow returns the further attempts that the target reports, and whether
 // it reports them.
 func spentBelow(response *fasthttp.Response) (int, bool) {
--- a/internal/proxy/measure.go
+++ b/internal/proxy/measure.go
@@ -98,6 +98,9 @@
 		counts.failed.Add(1)
 		return
 	}
+	if report.Leaving {
+		s.scheduler.SetLeavingByReport(target)
+	}
 	s.scheduler.Probed(now, target, balancer.Probe{
 		InFlight: report.InFlight,
 		Latency:  time.Duration(report.LatencyMs * float64(time.Millisecond)),
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,19 +26,31 @@
 	log       logrus.FieldLogger
 	client    *targetclient.Client
 	probes    *probe.Client
+	checks    *fasthttp.Client
 	guard     *idempotency.Guard
 	locate    Locator
 	instance  string
 	nextCall  atomic.Uint64
 	measuring measuring
 	shards    atomic.Pointer[map[string]*shard]
+	stop      chan struct{}
+	stopOnce  sync.Once
 }
 
 // New returns a proxy without services. Instance makes attempt IDs unique among
 // daemons.
 func New(instance string, guard *idempotency.Guard, log logrus.FieldLogger) *Proxy {
-	p := &Proxy{log: log, client: targetclient.New(), probes: probe.NewClient(), guard: guard, instance: instance}
+	p := &Proxy{
+		log:      log,
+		client:   targetclient.New(),
+		probes:   probe.NewClient(),
+		checks:   newCheckClient(),
+		guard:    guard,
+		instance: instance,
+		stop:     make(chan struct{}),
+	}
 	p.shards.Store(&map[string]*shard{})
+	go p.checkTargets()
 	return p
 }
 
@@ -49,7 +61,7 @@
 	for name, service := range snapshot.Services {
 		s := previous[name]
 		if s == nil {
-			s = newShard(p)
+			s = newShard(p, name)
 		}
 		if err := s.configure(service); err != nil {
 			p.log.WithError(err).WithField("service", name).Error("service not configured")
@@ -67,31 +79,16 @@
 // be called a few times a second.
 func (p *Proxy) Sweep(now time.Time) { p.client.Sweep(now) }
 
-// Close closes the idle connections to targets.
-func (p *Proxy) Close() { p.client.Close() }
-
-// TargetState is one target in a dump.
-type TargetState struct {
-	Service  string `json:"service"`
-	Name     string `json:"name"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	InFlight int    `json:"in_flight"`
-	Leaving  bool   `json:"leaving"`
-}
-
-// Targets returns the targets as seen by this daemon.
-func (p *Proxy) Targets() []TargetState {
-	var states []TargetState
-	for name, s := range *p.shards.Load() {
-		states = append(states, s.targetStates(name)...)
-	}
-	return states
+// Close stops the health checks and closes the idle connections to targets.
+func (p *Proxy) Close() {
+	p.stopOnce.Do(func() { close(p.stop) })
+	p.client.Close()
 }
 
 // shard is one service.
 type shard struct {
 	proxy *Proxy
+	name  string
 
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
@@ -102,9 +99,9 @@
 	attempts  AttemptCounts
 }
 
-func newShard(p *Proxy) *shard {
+func newShard(p *Proxy, name string) *shard {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	s := &shard{proxy: p, scheduler: dispatch.NewScheduler(rng)}
+	s := &shard{proxy: p, name: name, scheduler: dispatch.NewScheduler(rng)}
 	s.timer = time.AfterFunc(time.Hour, s.expire)
 	return s
 }
@@ -119,23 +116,6 @@
 	return nil
 }
 
-func (s *shard) targetStates(service string) []TargetState {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var states []TargetState
-	for _, target := range s.scheduler.Targets() {
-		states = append(states, TargetState{
-			Service:  service,
-			Name:     target.Name,
-			Address:  target.Address,
-			Zone:     target.Zone,
-			InFlight: target.InFlight,
-			Leaving:  target.Leaving,
-		})
-	}
-	return states
-}
-
 // actionBuffer holds the actions of one event on the stack.
 type actionBuffer [8]dispatch.Action
 
@@ -148,7 +128,9 @@
 	s.resetTimer()
 	bindHandles(actions)
 	s.count(actions)
+	changes := s.scheduler.Changes()
 	s.mu.Unlock()
+	s.logChanges(changes)
 	for _, action := range actions {
 		s.perform(current, action)
 	}
--- /dev/null
+++ b/internal/proxy/targets_test.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/dispatch"
+	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
+)
+
+const poll = 5 * time.Millisecond
+
+func stateOf(p *Proxy, name string) dispatch.TargetState {
+	for _, state := range p.Targets() {
+		if state.Name == name {
+			return state.State
+		}
+	}
+	return ""
+}
+
+func TestHealthCheckFindsATargetThatLeavesWithoutCalls(t *testing.T) {
+	leaving, leavingAddress := startStandin(t, targetd.Options{Name: "leaving", Slots: 3, Seed: 1})
+	_, liveAddress := startStandin(t, targetd.Options{Name: "live", Slots: 3, Seed: 1})
+	p, entry := startEntry(t, serviceOf(leavingAddress, liveAddress))
+	require.Equal(t, fasthttp.StatusOK, post(t, entry, "read", nil).StatusCode())
+	leaving.SetFaults(targetd.Faults{Leaving: true})
+	require.Eventually(t, func() bool { return stateOf(p, "target-0") != dispatch.TargetIn }, callTimeout, poll)
+	before := leaving.Counts().Requests
+	for range 50 {
+		require.Equal(t, fasthttp.StatusOK, post(t, entry, "read", nil).StatusCode())
+	}
+	require.Equal(t, before, leaving.Counts().Requests)
+}
+
+func TestPlatformAndPeersTellOfLeavingTargets(t *testing.T) {
+	first, firstAddress := startStandin(t, targetd.Options{Name: "first", Slots: 3, Seed: 1})
+	second, secondAddress := startStandin(t, targetd.Options{Name: "second", Slots: 3, Seed: 1})
+	_, liveAddress := startStandin(t, targetd.Options{Name: "live", Slots: 3, Seed: 1})
+	p, entry := startEntry(t, serviceOf(firstAddress, secondAddress, liveAddress))
+	p.SetListed([]string{"target-0"}, []string{"target-1", "target-2"})
+	p.SetTargetsLeavingByPeer([]string{"target-1"})
+	for range 50 {
+		require.Equal(t, fasthttp.StatusOK, post(t, entry, "read", nil).StatusCode())
+	}
+	require.Zero(t, first.Counts().Requests+second.Counts().Requests)
+	p.SetListed(nil, []string{"target-0"})
+	require.Eventually(t, func() bool {
+		post(t, entry, "read", nil)
+		return first.Counts().Requests > 0
+	}, callTimeout, poll)
+	require.Zero(t, second.Counts().Requests)
+}
+
+func TestDeadTargetIsEjected(t *testing.T) {
+	dead, deadAddress := startStandin(t, targetd.Options{Name: "dead", Slots: 3, Seed: 1})
+	_, liveAddress := startStandin(t, targetd.Options{Name: "live", Slots: 3, Seed: 1})
+	p, entry := startEntry(t, serviceOf(deadAddress, liveAddress))
+	require.NoError(t, dead.Close())
+	require.Eventually(t, func() bool {
+		require.Equal(t, fasthttp.StatusOK, post(t, entry, "read", nil).StatusCode())
+		return stateOf(p, "target-0") == dispatch.TargetEjected
+	}, callTimeout, poll)
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -253,6 +253,13 @@
 	return runs, err
 }
 
+// Counts returns the messages that target i has received.
+func (f *Fleet) Counts(i int) (targetd.Counts, error) {
+	var counts targetd.Counts
+	err := get("http://"+f.TargetAddress(i)+targetd.PathCounts, &counts)
+	return counts, err
+}
+
 // AwaitRevision waits until every entry daemon has applied a revision and sees
 // every entry VM live.
 func (f *Fleet) AwaitRevision(revision uint64) error {
