Drive the scheduler through random interleavings

Cause: the unit tests show single orders of events; faults at the ends of calls came from orders that nobody wrote down. Change: property tests with rapid over Scheduler and its queue, and a test of the hedge budget.

--- /dev/null
+++ b/internal/dispatch/property_test.go
@@ -0,0 +1,321 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/poplarwheel/poplarwheel/internal/balancer"
+	"github.com/poplarwheel/poplarwheel/internal/config"
+)
+
+// record is what the model knows of one call.
+type record struct {
+	call     *Call
+	answered bool
+	// mayHaveRun counts attempts that are live or ended without being not run.
+	mayHaveRun int
+	live       int
+}
+
+// model drives a scheduler through random events and checks each action.
+type model struct {
+	scheduler *Scheduler
+	now       time.Time
+	calls     []*record
+	byCall    map[*Call]*record
+	live      []*Attempt
+	inFlight  map[*balancer.Target]int
+	extra     int
+	hedges    int
+}
+
+var modelTypes = []*config.RequestType{
+	{Name: "read", DeadlineMs: 100, Idempotent: true, MaxAttempts: 3},
+	{Name: "hedged", DeadlineMs: 100, Idempotent: true, MaxAttempts: 4, HedgeAfterMs: 10, QueueMs: 40},
+	{Name: "book", DeadlineMs: 60, MaxAttempts: 3, QueueMs: 30},
+	{Name: "pay", DeadlineMs: 200, MaxAttempts: 2},
+}
+
+const (
+	modelRetryShare = 0.01
+	modelHedgeShare = 0.05
+	modelTargets    = 5
+)
+
+func modelService(t *rapid.T) *config.Service {
+	service := testService(rapid.IntRange(1, modelTargets).Draw(t, "targets"))
+	service.RetryShare = modelRetryShare
+	service.HedgeShare = modelHedgeShare
+	service.Groups[0].Slots = 1
+	return service
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		scheduler: NewScheduler(rand.New(rand.NewPCG(1, 1))),
+		now:       start,
+		byCall:    map[*Call]*record{},
+		inFlight:  map[*balancer.Target]int{},
+	}
+	require.NoError(t, m.scheduler.Configure(modelService(t)))
+	return m
+}
+
+func (m *model) arrive(t *rapid.T) {
+	requestType := rapid.SampledFrom(modelTypes).Draw(t, "type")
+	call := &Call{
+		ID:       uint64(len(m.calls)),
+		Type:     requestType,
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(0, requestType.DeadlineMs).Draw(t, "left")) * time.Millisecond),
+		Attempts: rapid.IntRange(1, 5).Draw(t, "attempts"),
+		Caller:   rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"),
+	}
+	r := &record{call: call}
+	m.calls = append(m.calls, r)
+	m.byCall[call] = r
+	if rapid.IntRange(0, 19).Draw(t, "gone") == 0 {
+		m.take(t, m.scheduler.Abandon(m.now, call))
+	}
+	m.take(t, m.scheduler.Arrive(m.now, call))
+}
+
+var modelResults = []Result{
+	{Kind: Answered, Answer: "good"},
+	{Kind: Answered, Answer: "good"},
+	{Kind: Answered, Answer: "good", SpentKnown: true},
+	{Kind: Answered, Answer: "failed", ServerError: true, SpentKnown: true, SpentBelow: 9},
+	{Kind: Answered, Answer: "failed", ServerError: true, SpentKnown: true},
+	{Kind: Answered, Answer: "failed", ServerError: true, SpentKnown: true},
+	{Kind: NotRun, Answer: "shed"},
+	{Kind: NotRun, Answer: "shed"},
+	{Kind: NotRun, Answer: "shed"},
+	{Kind: NotRun, Answer: "leaving", Leaving: true},
+	{Kind: NotRun, Unreachable: true},
+	{Kind: Lost},
+}
+
+func (m *model) finish(t *rapid.T) {
+	if len(m.live) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.live)-1).Draw(t, "attempt")
+	m.end(t, i, rapid.SampledFrom(modelResults).Draw(t, "result"))
+}
+
+func (m *model) end(t *rapid.T, i int, result Result) {
+	attempt := m.live[i]
+	m.live = append(m.live[:i], m.live[i+1:]...)
+	m.inFlight[attempt.Target]--
+	r := m.byCall[attempt.Call]
+	r.live--
+	if result.Kind == NotRun {
+		r.mayHaveRun--
+	}
+	m.take(t, m.scheduler.Finished(m.now, attempt, result))
+}
+
+func (m *model) advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "ms")) * time.Millisecond)
+	m.take(t, m.scheduler.Expire(m.now))
+}
+
+func (m *model) abandon(t *rapid.T) {
+	if len(m.calls) == 0 {
+		return
+	}
+	r := rapid.SampledFrom(m.calls).Draw(t, "call")
+	m.take(t, m.scheduler.Abandon(m.now, r.call))
+}
+
+func (m *model) configure(t *rapid.T) {
+	require.NoError(t, m.scheduler.Configure(modelService(t)))
+	m.take(t, m.scheduler.Expire(m.now))
+}
+
+func (m *model) signal(t *rapid.T) {
+	target := rapid.SampledFrom(m.scheduler.Targets()).Draw(t, "target")
+	switch rapid.IntRange(0, 6).Draw(t, "sign") {
+	case 0:
+		m.scheduler.SetLeaving(target.Name, true)
+	case 1:
+		m.scheduler.SetLeavingByPeer(target.Name)
+	case 2, 3:
+		m.scheduler.SetLeaving(target.Name, true)
+		m.scheduler.SetLeaving(target.Name, false)
+	default:
+		result := CheckResult(rapid.IntRange(int(CheckHealthy), int(CheckSkipped)).Draw(t, "check"))
+		m.scheduler.Checked(m.now, Check{Name: target.Name, Target: target}, result)
+	}
+	m.take(t, m.scheduler.Expire(m.now))
+}
+
+// take checks the actions of one event.
+func (m *model) take(t *rapid.T, actions []Action) {
+	for _, action := range actions {
+		r := m.byCall[action.Call]
+		switch action.Kind {
+		case Start:
+			m.started(t, r, action.Attempt)
+		case Cancel:
+			require.True(t, r.call.Type.Idempotent, "only idempotent attempts are canceled")
+		case Late:
+			require.True(t, r.answered, "a late answer comes after the answer")
+		default:
+			m.answered(t, r, action)
+		}
+	}
+}
+
+func (m *model) started(t *rapid.T, r *record, attempt *Attempt) {
+	require.False(t, r.answered, "an attempt starts before the answer")
+	require.False(t, attempt.Target.Leaving, "nothing new to a leaving target")
+	require.True(t, r.call.Type.Idempotent || r.mayHaveRun == 0, "a non-idempotent call is dispatched once")
+	require.True(t, m.now.Before(r.call.Deadline), "no attempt after the deadline")
+	switch {
+	case attempt.Hedge:
+		m.hedges++
+		require.True(t, r.call.Type.Idempotent)
+	case r.call.state.started > 1:
+		m.extra++
+	}
+	require.LessOrEqual(t, r.call.state.started, min(r.call.Attempts, r.call.Type.MaxAttempts))
+	r.mayHaveRun++
+	r.live++
+	m.live = append(m.live, attempt)
+	m.inFlight[attempt.Target]++
+}
+
+func (m *model) answered(t *rapid.T, r *record, action Action) {
+	require.False(t, r.answered, "a call is answered once")
+	r.answered = true
+	if action.Kind == Refuse {
+		require.Zero(t, r.mayHaveRun, "refused as not run only if no target can have begun")
+	}
+	if action.Kind == Unknown {
+		require.Positive(t, r.mayHaveRun)
+	}
+	require.LessOrEqual(t, action.Spent, max(min(r.call.Attempts, r.call.Type.MaxAttempts)-1, 0))
+}
+
+// check holds between any two events.
+func (m *model) check(t *rapid.T) {
+	byKey := map[targetKey]int{}
+	for target, count := range m.inFlight {
+		require.Equal(t, count, target.InFlight, "attempts in flight at %s", target.Name)
+		byKey[targetKey{name: target.Name, address: target.Address}] += count
+	}
+	for _, member := range m.scheduler.targets.members {
+		require.Equal(t, byKey[member.key()], member.InFlight, "attempts in flight at %s", member.Name)
+	}
+	waiting := 0
+	for _, r := range m.calls {
+		if r.answered {
+			continue
+		}
+		require.True(t, r.live > 0 || r.call.state.waiting, "call %d is neither attempted nor waiting", r.call.ID)
+		if r.call.state.waiting {
+			waiting++
+		}
+	}
+	require.Equal(t, waiting, m.scheduler.Queued())
+	require.LessOrEqual(t, waiting, maxQueued)
+	if waiting > 0 {
+		require.Nil(t, m.scheduler.pick(m.now, m.scheduler.queue.next(), true), "no call waits beside a free target")
+	}
+	calls := float64(len(m.calls))
+	require.LessOrEqual(t, float64(m.extra), budgetCap+calls*modelRetryShare+creditError)
+	require.LessOrEqual(t, float64(m.hedges), calls*modelHedgeShare+creditError)
+}
+
+// settle ends everything and checks that nothing is left.
+func (m *model) settle(t *rapid.T) {
+	m.now = m.now.Add(time.Minute)
+	m.take(t, m.scheduler.Expire(m.now))
+	for len(m.live) > 0 {
+		m.end(t, 0, Result{Kind: Lost})
+	}
+	for _, r := range m.calls {
+		require.True(t, r.answered, "call %d has an answer", r.call.ID)
+	}
+	m.check(t)
+	require.Zero(t, m.scheduler.NextWake())
+	require.Empty(t, m.scheduler.targets.retired)
+}
+
+func TestSchedulerKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive":       m.arrive,
+			"arrive too":   m.arrive,
+			"arrive again": m.arrive,
+			"finish":       m.finish,
+			"finish too":   m.finish,
+			"advance":      m.advance,
+			"abandon":      m.abandon,
+			"configure":    m.configure,
+			"signal":       m.signal,
+			"finish again": m.finish,
+			"":             m.check,
+		})
+		m.settle(t)
+	})
+}
+
+func TestQueueServesEveryCallOnceInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue := newFairQueue()
+		waiting := map[*Call]bool{}
+		perCaller := map[string]int{}
+		push := func(t *rapid.T) {
+			call := &Call{
+				Caller:   rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "caller"),
+				Deadline: start.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "deadline")) * time.Millisecond),
+			}
+			queue.push(call)
+			waiting[call] = true
+			perCaller[call.Caller]++
+		}
+		leave := func(call *Call) {
+			require.True(t, waiting[call])
+			delete(waiting, call)
+			perCaller[call.Caller]--
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push":     push,
+			"push too": push,
+			"pop": func(t *rapid.T) {
+				if queue.length == 0 {
+					return
+				}
+				call := queue.pop()
+				for other := range waiting {
+					require.False(t, other.Caller == call.Caller && other.Deadline.Before(call.Deadline))
+				}
+				leave(call)
+			},
+			"remove": func(t *rapid.T) {
+				for call := range waiting {
+					queue.remove(call)
+					leave(call)
+					return
+				}
+			},
+			"": func(t *rapid.T) {
+				require.Equal(t, len(waiting), queue.length)
+				low, high := ^uint64(0), uint64(0)
+				for caller, queued := range queue.callers {
+					require.Len(t, queued.calls, perCaller[caller])
+					low, high = min(low, queued.turn), max(high, queued.turn)
+				}
+				if len(queue.callers) > 1 {
+					require.LessOrEqual(t, high-low, uint64(1), "no caller is ahead by more than a turn")
+				}
+			},
+		})
+	})
+}
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -181,3 +181,22 @@
 	end := only(t, s.Finished(start, third, Result{Kind: Lost}), Reply)
 	require.Equal(t, 4, end.Spent)
 }
+
+func TestHedgesStayWithinTheirShare(t *testing.T) {
+	service := testService(3)
+	service.HedgeShare = 0.05
+	s := testScheduler(t, service)
+	requestType := read()
+	requestType.HedgeAfterMs = 10
+	hedges := 0
+	const calls = 1000
+	for id := range uint64(calls) {
+		attempt := only(t, s.Arrive(start, testCall(id, requestType)), Start).Attempt
+		for _, action := range s.Expire(start.Add(10 * time.Millisecond)) {
+			hedges++
+			s.Finished(start, action.Attempt, Result{Kind: Lost})
+		}
+		s.Finished(start, attempt, Result{Kind: Answered, Answer: "good"})
+	}
+	require.InDelta(t, calls*service.HedgeShare, hedges, 1)
+}
