--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,6 +56,9 @@
 	done      bool
 	live      []*Attempt
 	tried     []*balancer.Target
+	// liveBuffer and triedBuffer hold the attempts of most calls.
+	liveBuffer  [2]*Attempt
+	triedBuffer [2]*balancer.Target
 	// failure is the latest answer that reports a failure of a target.
 	failure any
 	hedgeAt time.Time
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -71,6 +71,8 @@
 		return s.actions
 	}
 	call.state.arrived = now
+	call.state.live = call.state.liveBuffer[:0]
+	call.state.tried = call.state.triedBuffer[:0]
 	s.calledAt = now
 	call.state.allowance = newAllowance(max(call.limit()-1, 0))
 	s.retries.earn()
