--- a/internal/daemon/observe.go
+++ b/internal/daemon/observe.go
@@ -48,6 +48,7 @@
 func (d *Daemon) observeParts() {
 	registry := d.observed.metrics
 	registry.Invariants()
+	d.observePeers(registry)
 	registry.Services(d.serviceCounts)
 	registry.Gauge("requests_in_flight", "Requests of callers without an answer.", func() float64 {
 		return float64(d.callers.InFlight())
--- a/test/cluster/size_test.go
+++ b/test/cluster/size_test.go
@@ -81,6 +81,9 @@
 	require.NoError(t, f.AwaitRevision(revision))
 	t.Logf("440 changes in force at %d daemons after %s", entries, time.Since(began))
 
+	head, err := store.Get(rollout.HeadKey)
+	require.NoError(t, err)
+	t.Logf("the head has %d bytes", len(head.Value))
 	seen := watchRevisions(f, entries)
 	var all []int
 	for i := range entries {
