--- a/test/cluster/outage_test.go
+++ b/test/cluster/outage_test.go
@@ -12,7 +12,8 @@
 )
 
 // TestServingGoesOnWithoutThePlatform: calls are answered while the platform is
-// down, slow and flapping, and its return makes no stampede of 13 daemons.
+// down, slow and flapping, bookings that need a record run or say that there is
+// none, and the platform's return makes no stampede of 13 daemons.
 func TestServingGoesOnWithoutThePlatform(t *testing.T) {
 	const entries = 13
 	f := startStock(t, entries, 3)
