Make the series of a request type at its first answer

Cause: a daemon serves few of 440 services, but took memory for the metrics of all of them. Ruled out: configuring the series by entry set, which would tie metrics to membership. Change: series are allowed by the configuration and made at the first answer; series of removed request types are dropped too.

--- a/internal/metrics/calls.go
+++ b/internal/metrics/calls.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -23,7 +24,6 @@
 	refusals *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	series   atomic.Pointer[map[seriesKey]*Series]
-	services map[string]bool
 	other    *Series
 }
 
@@ -45,10 +45,9 @@
 			Help:      "Time from the arrival of a whole request to its answer, in seconds.",
 			Buckets:   durationBuckets,
 		}, []string{labelService, labelType}),
-		services: map[string]bool{},
 	}
 	registry.MustRegister(c.calls, c.refusals, c.duration)
-	c.other = c.newSeries(other, other)
+	c.other = &Series{calls: c, service: other, requestType: other}
 	c.series.Store(&map[seriesKey]*Series{})
 	return c
 }
@@ -56,53 +55,60 @@
 // seriesKey identifies a request type.
 type seriesKey struct{ service, requestType string }
 
-// Series are the metrics of one request type.
+// Series are the metrics of one request type. They take memory from the first
+// answer on, since a daemon serves only some of the configured services.
 type Series struct {
-	calls    *Calls
-	service  string
+	calls       *Calls
+	service     string
+	requestType string
+
+	once     sync.Once
 	ran      prometheus.Counter
 	notRun   prometheus.Counter
 	unknown  prometheus.Counter
 	duration prometheus.Observer
 }
 
-func (c *Calls) newSeries(service, requestType string) *Series {
-	return &Series{
-		calls:    c,
-		service:  service,
-		ran:      c.calls.WithLabelValues(service, requestType, wire.OutcomeRan),
-		notRun:   c.calls.WithLabelValues(service, requestType, wire.OutcomeNotRun),
-		unknown:  c.calls.WithLabelValues(service, requestType, wire.OutcomeUnknown),
-		duration: c.duration.WithLabelValues(service, requestType),
+func (s *Series) init() {
+	counter := func(outcome string) prometheus.Counter {
+		return s.calls.calls.WithLabelValues(s.service, s.requestType, outcome)
 	}
+	s.ran = counter(wire.OutcomeRan)
+	s.notRun = counter(wire.OutcomeNotRun)
+	s.unknown = counter(wire.OutcomeUnknown)
+	s.duration = s.calls.duration.WithLabelValues(s.service, s.requestType)
 }
 
-// Configure makes the series of a configuration and drops those of services that
+// Configure allows the series of a configuration and drops those of services that
 // it no longer has. It must not be called concurrently.
 func (c *Calls) Configure(snapshot *config.Snapshot) {
+	previous := *c.series.Load()
 	series := map[seriesKey]*Series{}
 	for name, service := range snapshot.Services {
 		for _, requestType := range service.RequestTypes {
-			series[seriesKey{name, requestType.Name}] = c.newSeries(name, requestType.Name)
+			key := seriesKey{name, requestType.Name}
+			series[key] = previous[key]
+			if series[key] == nil {
+				series[key] = &Series{calls: c, service: name, requestType: requestType.Name}
+			}
 		}
 	}
 	c.series.Store(&series)
-	for name := range c.services {
-		if snapshot.Services[name] == nil {
-			c.drop(name)
+	for key := range previous {
+		if series[key] == nil {
+			c.drop(key)
+		}
+		if snapshot.Services[key.service] == nil {
+			c.refusals.DeletePartialMatch(prometheus.Labels{labelService: key.service})
 		}
-	}
-	for name := range snapshot.Services {
-		c.services[name] = true
 	}
 }
 
-func (c *Calls) drop(service string) {
-	labels := prometheus.Labels{labelService: service}
+// drop forgets the series of a request type.
+func (c *Calls) drop(key seriesKey) {
+	labels := prometheus.Labels{labelService: key.service, labelType: key.requestType}
 	c.calls.DeletePartialMatch(labels)
-	c.refusals.DeletePartialMatch(labels)
 	c.duration.DeletePartialMatch(labels)
-	delete(c.services, service)
 }
 
 // Series returns the metrics of a request type, or of all that are not
@@ -116,6 +122,7 @@
 
 // Answered counts an answer. Reason is empty for a target's own.
 func (s *Series) Answered(outcome, reason []byte, elapsed time.Duration) {
+	s.once.Do(s.init)
 	switch string(outcome) {
 	case wire.OutcomeRan:
 		s.ran.Inc()
