Don't cut the last answer of a caller that goes on sending

Cause: a caller that pipelines more than one request's bytes while it receives the answer that tells it to close had its connection closed in the middle of that answer. Ruled out: raising the limit (the same later), not reading (gnet has no pause). Change: after a last answer nothing more is served, so further bytes are dropped. Before: 16 of 16 red. After: go test -race -count=8 -run TestLastAnswerIsWhole ./internal/callerserver green, the whole package -count=3 green.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -284,10 +284,7 @@
 		_ = s.flush(conn, state)
 	}
 	if state.exchange != nil {
-		if conn.InboundBuffered() > s.limits.HeaderBytes+s.limits.BodyBytes {
-			return gnet.Close
-		}
-		return gnet.None
+		return s.whileServing(conn, state)
 	}
 	buffered, err := conn.Peek(-1)
 	if err != nil || len(buffered) == 0 {
@@ -310,6 +307,20 @@
 	return gnet.None
 }
 
+// whileServing bounds what a caller sends while its request is served. After a
+// last answer nothing more is served, so what it sends meanwhile is dropped rather
+// than the answer cut.
+func (s *Server) whileServing(conn gnet.Conn, state *connState) gnet.Action {
+	if state.phase.Load() == phaseFlushing && state.exchange.close {
+		_, _ = conn.Discard(-1)
+		return gnet.None
+	}
+	if conn.InboundBuffered() > s.limits.HeaderBytes+s.limits.BodyBytes {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
 func (s *Server) awaitRest(state *connState) {
 	if state.phase.Swap(phasePartial) != phasePartial {
 		state.waitingSince.Store(time.Now().UnixNano())
