Say unknown where a refusal can't tell that a request was sent first

Cause: refusals before a request is handed on (limits, bad input) said not-run, also on a resend, although an earlier send may have run. Ruled out: leaving it to the client, which can't tell the refusals apart. Change: not-run only if the header shows a first send (Poplarwheel-Resend: 0, or neither key nor number), unknown otherwise and where there is no header yet. Before: 4 of the new cases of TestBadInputIsAnsweredAndTheConnectionClosed red. After: go test -race ./internal/callerserver ./test/docs pass.

--- a/internal/callerserver/limits.go
+++ b/internal/callerserver/limits.go
@@ -42,7 +42,7 @@
 // lastAnswer returns an answer after which the connection is closed.
 func lastAnswer(err *ParseError) []byte {
 	response := ErrorResponse(err.Status, wire.ErrorReply{
-		Outcome: wire.OutcomeNotRun,
+		Outcome: err.outcome(),
 		Reason:  err.Reason,
 		Detail:  err.Error(),
 	})
--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
 // ParseError reports a request that can't be served. The connection is closed
@@ -15,10 +17,21 @@
 	Status int
 	// Reason is a stable error code.
 	Reason string
+	// FirstSend is set if the header shows that the request was not sent before.
+	// Otherwise an earlier send of it may have run.
+	FirstSend bool
 	// Cause says more, or is nil.
 	Cause error
 }
 
+// outcome returns what can be said about the request, all sends of it included.
+func (e *ParseError) outcome() string {
+	if e.FirstSend {
+		return wire.OutcomeNotRun
+	}
+	return wire.OutcomeUnknown
+}
+
 // Error implements error.
 func (e *ParseError) Error() string {
 	if e.Cause == nil {
@@ -84,14 +97,22 @@
 	}
 	switch string(request.Header.Method()) {
 	case fasthttp.MethodHead, fasthttp.MethodConnect, fasthttp.MethodTrace:
-		return &ParseError{Status: fasthttp.StatusNotImplemented, Reason: "method_not_supported"}
+		return refused(request, fasthttp.StatusNotImplemented, "method_not_supported")
 	}
 	if len(request.Header.Peek(fasthttp.HeaderExpect)) > 0 {
-		return &ParseError{Status: fasthttp.StatusExpectationFailed, Reason: "expectation_failed"}
+		return refused(request, fasthttp.StatusExpectationFailed, "expectation_failed")
 	}
 	return nil
 }
 
+// refused returns the refusal of a request whose header is known.
+func refused(request *fasthttp.Request, status int, reason string) error {
+	resend := request.Header.Peek(wire.HeaderResend)
+	hasKey := len(request.Header.Peek(wire.HeaderIdempotencyKey)) > 0
+	first := string(resend) == "0" || (len(resend) == 0 && !hasKey)
+	return &ParseError{Status: status, Reason: reason, FirstSend: first}
+}
+
 func malformed(cause error) error {
 	return &ParseError{Status: fasthttp.StatusBadRequest, Reason: "malformed_header", Cause: cause}
 }
@@ -106,11 +127,11 @@
 
 func bodyLength(request *fasthttp.Request, limits Limits) (int, error) {
 	if len(request.Header.Peek(fasthttp.HeaderTransferEncoding)) > 0 || request.Header.ContentLength() == -1 {
-		return 0, &ParseError{Status: fasthttp.StatusLengthRequired, Reason: "length_required"}
+		return 0, refused(request, fasthttp.StatusLengthRequired, "length_required")
 	}
 	length := max(request.Header.ContentLength(), 0)
 	if length > limits.BodyBytes {
-		return 0, &ParseError{Status: fasthttp.StatusRequestEntityTooLarge, Reason: "body_too_large"}
+		return 0, refused(request, fasthttp.StatusRequestEntityTooLarge, "body_too_large")
 	}
 	return length, nil
 }
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -126,15 +126,19 @@
 func TestBadInputIsAnsweredAndTheConnectionClosed(t *testing.T) {
 	_, _, address := startServer(t, serverLimits())
 	for name, c := range map[string]struct {
-		input  string
-		status int
+		input   string
+		status  int
+		outcome string
 	}{
-		"garbage":          {"\x00\x01\x02\r\n\r\n", 400},
-		"chunked":          {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 411},
-		"header too large": {"GET /a HTTP/1.1\r\nX: " + strings.Repeat("x", 2048), 431},
-		"body too large":   {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4097\r\n\r\n", 413},
-		"expectation":      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n", 417},
-		"HEAD":             {"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", 501},
+		"garbage":          {"\x00\x01\x02\r\n\r\n", 400, "unknown"},
+		"chunked":          {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", 411, "not-run"},
+		"header too large": {"GET /a HTTP/1.1\r\nX: " + strings.Repeat("x", 2048), 431, "unknown"},
+		"body too large":   {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4097\r\n\r\n", 413, "not-run"},
+		"expectation":      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n", 417, "not-run"},
+		"resend":           {"POST /a HTTP/1.1\r\nHost: h\r\nIdempotency-Key: t:1\r\nPoplarwheel-Resend: 1\r\nContent-Length: 4097\r\n\r\n", 413, "unknown"},
+		"first send":       {"POST /a HTTP/1.1\r\nHost: h\r\nIdempotency-Key: t:1\r\nPoplarwheel-Resend: 0\r\nContent-Length: 4097\r\n\r\n", 413, "not-run"},
+		"unnumbered key":   {"POST /a HTTP/1.1\r\nHost: h\r\nIdempotency-Key: t:1\r\nContent-Length: 4097\r\n\r\n", 413, "unknown"},
+		"HEAD":             {"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n", 501, "not-run"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn := dial(t, address)
@@ -142,7 +146,7 @@
 			reader := bufio.NewReader(conn)
 			status, body := readAnswer(t, reader)
 			require.Equal(t, c.status, status)
-			require.Contains(t, body, `"outcome":"not-run"`)
+			require.Contains(t, body, `"outcome":"`+c.outcome+`"`)
 			requireClosed(t, reader)
 			requireServes(t, address)
 		})
