Measure at-most-once records; group by the write under way

The default is 0.

The settings page printed the default 0 of a number as empty; it prints 0 and demands that the comment says so.

--- /dev/null
+++ b/bench/once/main.go
@@ -0,0 +1,209 @@
+// Command once measures what at-most-once records cost a booking: the latency
+// added before dispatch, the platform calls for each booking, and the rate at
+// which the platform's share of writes is used up.
+//
+// All daemons run in this process, against a platform stand-in on loopback.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/poplarwheel/poplarwheel/internal/idempotency"
+	"github.com/poplarwheel/poplarwheel/internal/logging"
+	"github.com/poplarwheel/poplarwheel/internal/platform"
+	"github.com/poplarwheel/poplarwheel/internal/standin/platformd"
+)
+
+const (
+	// platformAddress is where the stand-in listens.
+	platformAddress = "127.77.0.1:7000"
+	// platformTimeout bounds a call to the platform.
+	platformTimeout = time.Second
+	// commitWait bounds the wait for a record.
+	commitWait = time.Second
+	// readyWait is the time in which the daemons make their objects ready.
+	readyWait = time.Second
+	// tokenKeep is how long a caller uses one token on average.
+	tokenKeep = 5 * time.Second
+)
+
+type options struct {
+	daemons, writes, delayMs int
+	callers, maxKeys         int
+	rates, groups            []int
+	length                   time.Duration
+	seed                     uint64
+}
+
+func main() {
+	var o options
+	flag.IntVar(&o.daemons, "daemons", 13, "entry daemons")
+	flag.IntVar(&o.writes, "writes", 200, "platform writes a second for records")
+	flag.IntVar(&o.delayMs, "delay-ms", 2, "time the platform takes to answer, in milliseconds")
+	flag.DurationVar(&o.length, "length", 3*time.Second, "length of each run")
+	flag.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
+	flag.IntVar(&o.callers, "callers", 200, "callers, each with a token of its own")
+	flag.IntVar(&o.maxKeys, "max-keys", 1024, "keys of a record object")
+	flag.Func("rates", "bookings a second, separated by commas", numbers(&o.rates))
+	flag.Func("groups", "grouping intervals in milliseconds, separated by commas", numbers(&o.groups))
+	o.rates, o.groups = []int{20, 200, 1000, 4000}, []int{0, 2, 5, 10}
+	flag.Parse()
+	if err := measureAll(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// numbers returns a parser of lists of numbers.
+func numbers(list *[]int) func(string) error {
+	return func(text string) error {
+		*list = nil
+		for _, part := range strings.Split(text, ",") {
+			number, err := strconv.Atoi(part)
+			if err != nil {
+				return err
+			}
+			*list = append(*list, number)
+		}
+		return nil
+	}
+}
+
+func measureAll(o options) error {
+	fmt.Println("| bookings/s | grouping ms | p50 ms | p99 ms | committed % | writes/booking | calls/booking |")
+	fmt.Println("|---|---|---|---|---|---|---|")
+	for _, rate := range o.rates {
+		for _, groupMs := range o.groups {
+			if err := measure(o, rate, groupMs); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// fleet is the daemons of one run.
+type fleet struct {
+	recorders []*idempotency.Recorder
+	stop      chan struct{}
+}
+
+func startFleet(o options, groupMs int) *fleet {
+	f := &fleet{stop: make(chan struct{})}
+	for i := range o.daemons {
+		rates := idempotency.NewRates(float64(o.writes), 400)
+		rates.SetDaemons(o.daemons)
+		recorder := idempotency.NewRecorder(idempotency.RecorderOptions{
+			Self:  idempotency.Owner{Incarnation: fmt.Sprintf("%d-%d", time.Now().UnixNano(), i), VM: fmt.Sprint("entry-", i)},
+			Store: platform.NewClient(platformAddress, platformTimeout),
+			Rates: rates,
+			Limits: idempotency.Limits{
+				GroupInterval: time.Duration(groupMs) * time.Millisecond,
+				OutcomeDelay:  100 * time.Millisecond, RetryDelay: 20 * time.Millisecond,
+				MaxKeys: o.maxKeys, MaxAnswerBytes: 4 << 10, MaxAnswersBytes: 128 << 10,
+			},
+			Pool: idempotency.PoolLimits{Slots: 4096, RotateAfter: time.Minute, SoftKeys: 256},
+			Log:  logging.Discard(),
+		})
+		recorder.SetWanted(true)
+		go recorder.Run(f.stop)
+		f.recorders = append(f.recorders, recorder)
+	}
+	time.Sleep(readyWait)
+	return f
+}
+
+// result collects the ends of the bookings of one run.
+type result struct {
+	mu        sync.Mutex
+	latency   *hdrhistogram.Histogram
+	committed int
+	done      sync.WaitGroup
+}
+
+func measure(o options, rate, groupMs int) error {
+	server := platformd.NewServer()
+	server.SetFaults(platformd.Faults{DelayMs: o.delayMs})
+	listener, err := net.Listen("tcp", platformAddress)
+	if err != nil {
+		return err
+	}
+	go func() { _ = server.Serve(listener) }()
+	f := startFleet(o, groupMs)
+	before := server.Counts()
+	r := &result{latency: hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)}
+	sent := offer(o, f, r, rate)
+	r.done.Wait()
+	time.Sleep(200 * time.Millisecond)
+	after := server.Counts()
+	close(f.stop)
+	r.print(rate, groupMs, sent, after.Writes-before.Writes, after.Reads-before.Reads)
+	return server.Close()
+}
+
+// offer sends bookings at random times and returns how many there were.
+func offer(o options, f *fleet, r *result, rate int) int {
+	rng := rand.New(rand.NewPCG(o.seed, 1))
+	tokens := make([]idempotency.Token, o.callers)
+	until := make([]time.Time, o.callers)
+	sent := 0
+	next := time.Now()
+	for end := next.Add(o.length); next.Before(end); {
+		time.Sleep(time.Until(next))
+		next = next.Add(time.Duration(rng.ExpFloat64() * float64(time.Second) / float64(rate)))
+		caller := rng.IntN(o.callers)
+		recorder := f.recorders[caller%o.daemons]
+		now := time.Now()
+		if now.After(until[caller]) {
+			tokens[caller], _ = recorder.Token(now, uint64(sent))
+			until[caller] = now.Add(time.Duration(rng.Int64N(int64(2 * tokenKeep))))
+		}
+		sent++
+		r.done.Add(1)
+		f.book(r, recorder, idempotency.Key{Token: tokens[caller], Request: fmt.Sprint(sent)}, now)
+	}
+	return sent
+}
+
+// book commits an intent and records an answer at once.
+func (f *fleet) book(r *result, recorder *idempotency.Recorder, key idempotency.Key, now time.Time) {
+	if key.Token.Kind != idempotency.Recorded {
+		r.done.Done()
+		return
+	}
+	recorder.Begin(now, &idempotency.Send{
+		Key: key, Fingerprint: 1, CommitBy: now.Add(commitWait), AnswerBy: now.Add(commitWait),
+		Decided: func(decision idempotency.Decision) {
+			if decision.Verdict == idempotency.Run {
+				r.add(time.Since(now))
+				answer := &idempotency.Answer{StatusCode: 200, ContentType: "application/json", Body: make([]byte, 200)}
+				recorder.Finish(time.Now(), key, idempotency.Outcome{Status: idempotency.Ran, Answer: answer})
+			}
+			r.done.Done()
+		},
+	})
+}
+
+func (r *result) add(latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.committed++
+	_ = r.latency.RecordValue(latency.Microseconds())
+}
+
+func (r *result) print(rate, groupMs, sent int, writes, reads uint64) {
+	ms := func(quantile float64) float64 { return float64(r.latency.ValueAtQuantile(quantile)) / 1000 }
+	committed := float64(max(r.committed, 1))
+	fmt.Printf("| %d | %d | %.1f | %.1f | %.1f | %.2f | %.2f |\n", rate, groupMs, ms(50), ms(99),
+		100*float64(r.committed)/float64(sent), float64(writes)/committed, float64(writes+reads)/committed)
+}
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -19,7 +19,7 @@
 	// recordRetryDelay is the pause after a failed call to the platform.
 	recordRetryDelay = 20 * time.Millisecond
 	// recordMaxKeys bounds the keys of a record object.
-	recordMaxKeys = 512
+	recordMaxKeys = 1024
 	// recordSoftKeys is where new tokens turn to the next object.
 	recordSoftKeys = 256
 	// recordAnswerBytes bounds an answer in a record object.
--- a/internal/settings/document_test.go
+++ b/internal/settings/document_test.go
@@ -44,6 +44,10 @@
 			require.Contains(t, meaning, "Default "+value+".", field.Name)
 		} else if !strings.Contains(field.Tag.Get("validate"), "required") {
 			value = "empty"
+			if current.CanInt() {
+				value = "0"
+				require.Contains(t, meaning, "Default 0.", field.Name)
+			}
 		}
 		fmt.Fprintf(&page, "| `%s` | %s | %s | %s |\n", name, value, allowed(field.Tag.Get("validate")), meaning)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,7 +50,8 @@
 	// MaxBodyBytes bounds the body of a request, in bytes. Default 1048576.
 	MaxBodyBytes int `json:"max_body_bytes" validate:"min=1,max=67108864"`
 	// RecordGroupMs is how long a non-idempotent request waits for others to share
-	// the write of their at-most-once records, in milliseconds. Default 2.
+	// the write of their at-most-once records, in milliseconds. With 0, those that
+	// arrive during a write share the next one. Default 0.
 	RecordGroupMs int `json:"record_group_ms" validate:"min=0,max=1000"`
 	// RecordWritesPerSecond is the number of platform writes that the entry VMs
 	// together may spend on at-most-once records, a second. Default 200.
@@ -80,7 +81,6 @@
 		KeepSeconds:           5,
 		MaxHeaderBytes:        16 << 10,
 		MaxBodyBytes:          1 << 20,
-		RecordGroupMs:         2,
 		RecordWritesPerSecond: 200,
 		RecordReadsPerSecond:  400,
 		RecordSlots:           4096,
