Add the ward of requests that crash targets

Counts, for the content of a request, the targets that died one after the other while they ran it. Content that alone was at two such deaths is quarantined; content that shared both with other content needs a third. Requests that were at one death are run one after another, and an answer clears them.

--- /dev/null
+++ b/internal/quarantine/keeper.go
@@ -0,0 +1,119 @@
+package quarantine
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// sweepInterval is the pause between two looks for what has expired.
+const sweepInterval = 100 * time.Millisecond
+
+// Peers tells other daemons.
+type Peers interface {
+	// Tell tells of a suspect and calls done once, when the others know or after a
+	// time limit.
+	Tell(suspect Suspect, done func())
+	// Lift tells that content isn't suspected anymore. It doesn't wait.
+	Lift(content Content)
+}
+
+// Keeper drives a Ward. It is safe for concurrent use.
+type Keeper struct {
+	peers    Peers
+	suspects atomic.Int64
+
+	mu   sync.Mutex
+	ward *Ward
+}
+
+// NewKeeper returns a keeper of an empty ward.
+func NewKeeper(peers Peers) *Keeper {
+	return &Keeper{ward: NewWard(), peers: peers}
+}
+
+// Active reports whether any content is suspected. It costs next to nothing.
+func (k *Keeper) Active() bool { return k.suspects.Load() > 0 }
+
+// Quarantined reports whether content must not be run.
+func (k *Keeper) Quarantined(now time.Time, content Content) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ward.Quarantined(now, content)
+}
+
+// Died takes the end of a request by the death of its target. Run.Resume is
+// called once other daemons know and the request has its turn.
+func (k *Keeper) Died(now time.Time, run *Run) {
+	var suspect Suspect
+	resumed := k.event(func() []Resumed {
+		told, resumed := k.ward.Died(now, run)
+		suspect = told
+		return resumed
+	})
+	k.peers.Tell(suspect, func() { resume(resumed) })
+}
+
+// Ended takes the end of a request whose content may be suspected.
+func (k *Keeper) Ended(now time.Time, content Content, answered bool) {
+	cleared := false
+	resumed := k.event(func() []Resumed {
+		was, resumed := k.ward.Ended(now, content, answered)
+		cleared = was
+		return resumed
+	})
+	if cleared {
+		k.peers.Lift(content)
+	}
+	resume(resumed)
+}
+
+// Told takes suspects from another daemon.
+func (k *Keeper) Told(now time.Time, suspects []Suspect) {
+	resume(k.event(func() []Resumed { return k.ward.Told(now, suspects) }))
+}
+
+// Lift forgets content. It returns false if the content isn't known here.
+func (k *Keeper) Lift(content Content) bool {
+	known := false
+	k.event(func() []Resumed {
+		known = k.ward.Lift(content)
+		return nil
+	})
+	return known
+}
+
+// Suspects returns all suspects, the quarantined first.
+func (k *Keeper) Suspects(now time.Time) []Suspect {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ward.Suspects(now)
+}
+
+// Run ends what has expired until stop is closed.
+func (k *Keeper) Run(stop <-chan struct{}) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case now := <-ticker.C:
+			resume(k.event(func() []Resumed { return k.ward.Expire(now) }))
+		}
+	}
+}
+
+func (k *Keeper) event(send func() []Resumed) []Resumed {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	resumed := send()
+	k.suspects.Store(int64(len(k.ward.suspects)))
+	return resumed
+}
+
+func resume(resumed []Resumed) {
+	for _, r := range resumed {
+		r.Run.Resume(r.Allowed)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/quarantine.go
@@ -0,0 +1,373 @@
+// Package quarantine stops requests that crash the targets which run them.
+//
+// Ward counts, for the content of each request, the targets that died while they
+// ran it. At a small limit the content is quarantined: it is not run until the
+// quarantine expires or an operator lifts it. Daemons tell one another of deaths
+// and lifts, so the limit holds for the whole system.
+//
+// The requests that were at a target when it died are suspects together. They
+// are run one after another, so that the next death names one of them. A suspect
+// that a target answers is cleared.
+//
+// Ward is a plain state machine. Events and time are passed in.
+package quarantine
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// Limit is the number of dead targets at which content is quarantined, if it
+	// alone was at all of them. Otherwise one more is needed to tell which it is.
+	Limit = 2
+	// Expiry is how long a death counts and a quarantine lasts.
+	Expiry = 10 * time.Minute
+
+	// sameDeath is the time within which the ends of requests at one target are
+	// taken as one death.
+	sameDeath = time.Second
+	// turnLimit bounds the time for which a suspect keeps others waiting.
+	turnLimit = 2 * time.Second
+	// maxSuspects bounds the content that a ward keeps.
+	maxSuspects = 4096
+)
+
+// Content identifies the content of a request.
+type Content uint64
+
+// Death is the death of a target while it ran a request.
+type Death struct {
+	Target string `json:"target"`
+	// Began is when the request was sent to the target.
+	Began time.Time `json:"began"`
+	At    time.Time `json:"at"`
+}
+
+// Suspect is content that was at a target when it died.
+type Suspect struct {
+	Content Content `json:"content,string"`
+	Service string  `json:"service"`
+	Type    string  `json:"type"`
+	Deaths  []Death `json:"deaths"`
+	// Quarantined is set once the limit is reached.
+	Quarantined bool `json:"quarantined"`
+}
+
+// newest returns the time of the last death.
+func (s *Suspect) newest() time.Time {
+	var last time.Time
+	for _, death := range s.Deaths {
+		if death.At.After(last) {
+			last = death.At
+		}
+	}
+	return last
+}
+
+// add adds a death unless it is known.
+func (s *Suspect) add(death Death) {
+	if s.knows(death) {
+		return
+	}
+	s.Deaths = append(s.Deaths, death)
+}
+
+// has reports whether the content was at every death of another suspect.
+func (s *Suspect) has(deaths []Death) bool {
+	for _, death := range deaths {
+		if !s.knows(death) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Suspect) knows(death Death) bool {
+	for _, known := range s.Deaths {
+		if known.Target == death.Target && known.At.Sub(death.At).Abs() < sameDeath {
+			return true
+		}
+	}
+	return false
+}
+
+// independent counts the deaths that one after the other speak against the
+// content: each by a request that was sent after the death before. Targets that
+// die together while they run the same content count as one.
+func (s *Suspect) independent() int {
+	sort.Slice(s.Deaths, func(i, j int) bool { return s.Deaths[i].At.Before(s.Deaths[j].At) })
+	count := 0
+	var last time.Time
+	for _, death := range s.Deaths {
+		if !death.Began.Before(last) {
+			count++
+			last = death.At
+		}
+	}
+	return count
+}
+
+// Run is one request whose target died under it.
+type Run struct {
+	Content Content
+	Service string
+	Type    string
+	// Target is the name of the target that died.
+	Target string
+	// Began is when the request was sent to the target.
+	Began time.Time
+	// Resume is the driver's own. It is called once, with true if the request may
+	// be tried again.
+	Resume func(allowed bool)
+}
+
+// Ward is the quarantine as one daemon sees it. It is not safe for concurrent
+// use.
+type Ward struct {
+	suspects map[Content]*Suspect
+	groups   []*group
+}
+
+// group holds the requests that waited for one death to be explained.
+type group struct {
+	target string
+	at     time.Time
+	// turn is the content that is being run, until turnEnd.
+	turn    Content
+	taken   bool
+	turnEnd time.Time
+	members map[Content]bool
+	waiting []*Run
+}
+
+// NewWard returns an empty ward.
+func NewWard() *Ward { return &Ward{suspects: map[Content]*Suspect{}} }
+
+// Quarantined reports whether content must not be run.
+func (w *Ward) Quarantined(now time.Time, content Content) bool {
+	suspect := w.find(now, content)
+	return suspect != nil && w.condemns(suspect)
+}
+
+// condemns reports whether the deaths of a suspect can only be its own doing.
+func (w *Ward) condemns(suspect *Suspect) bool {
+	deaths := suspect.independent()
+	if deaths != Limit {
+		return deaths > Limit
+	}
+	for _, other := range w.suspects {
+		if other != suspect && other.has(suspect.Deaths) {
+			return false
+		}
+	}
+	return true
+}
+
+// Suspected reports whether content was at a target that died.
+func (w *Ward) Suspected(now time.Time, content Content) bool { return w.find(now, content) != nil }
+
+func (w *Ward) find(now time.Time, content Content) *Suspect {
+	suspect := w.suspects[content]
+	if suspect != nil && now.Sub(suspect.newest()) >= Expiry {
+		delete(w.suspects, content)
+		return nil
+	}
+	return suspect
+}
+
+// Died takes the end of a request by the death of its target. It returns what to
+// tell other daemons, and the runs to resume.
+func (w *Ward) Died(now time.Time, run *Run) (Suspect, []Resumed) {
+	suspect := w.suspect(now, run)
+	suspect.add(Death{Target: run.Target, Began: run.Began, At: now})
+	var resumed []Resumed
+	if w.condemns(suspect) {
+		resumed = w.explain(run.Content)
+		return w.copy(suspect), append(resumed, Resumed{Run: run, Allowed: false})
+	}
+	g := w.groupOf(now, run.Target)
+	g.members[run.Content] = true
+	g.waiting = append(g.waiting, run)
+	return w.copy(suspect), w.next(now, g)
+}
+
+// Resumed is a run that may be tried again, or must not be.
+type Resumed struct {
+	Run     *Run
+	Allowed bool
+}
+
+func (w *Ward) suspect(now time.Time, run *Run) *Suspect {
+	suspect := w.find(now, run.Content)
+	if suspect == nil {
+		w.makeRoom()
+		suspect = &Suspect{Content: run.Content, Service: run.Service, Type: run.Type}
+		w.suspects[run.Content] = suspect
+	}
+	return suspect
+}
+
+// makeRoom drops the suspect whose last death is the longest ago.
+func (w *Ward) makeRoom() {
+	if len(w.suspects) < maxSuspects {
+		return
+	}
+	var oldest *Suspect
+	for _, suspect := range w.suspects {
+		if oldest == nil || suspect.newest().Before(oldest.newest()) {
+			oldest = suspect
+		}
+	}
+	delete(w.suspects, oldest.Content)
+}
+
+func (w *Ward) groupOf(now time.Time, target string) *group {
+	for _, g := range w.groups {
+		if g.target == target && now.Sub(g.at) < sameDeath {
+			return g
+		}
+	}
+	g := &group{target: target, at: now, members: map[Content]bool{}}
+	w.groups = append(w.groups, g)
+	return g
+}
+
+// next gives the turn to the next waiting content. Requests of the same content
+// take their turn together.
+func (w *Ward) next(now time.Time, g *group) []Resumed {
+	if len(g.waiting) == 0 {
+		return nil
+	}
+	if !g.taken {
+		g.taken = true
+		g.turn = g.waiting[0].Content
+		g.turnEnd = now.Add(turnLimit)
+	}
+	var resumed []Resumed
+	var left []*Run
+	for _, run := range g.waiting {
+		switch {
+		case w.Quarantined(now, run.Content):
+			resumed = append(resumed, Resumed{Run: run, Allowed: false})
+		case run.Content == g.turn:
+			resumed = append(resumed, Resumed{Run: run, Allowed: true})
+		default:
+			left = append(left, run)
+		}
+	}
+	g.waiting = left
+	if w.Quarantined(now, g.turn) {
+		g.taken = false
+		return append(resumed, w.next(now, g)...)
+	}
+	return resumed
+}
+
+// Ended takes the end of a request. Answered is set if a target answered it,
+// which clears its content. It returns whether it did, and the runs to resume.
+func (w *Ward) Ended(now time.Time, content Content, answered bool) (bool, []Resumed) {
+	cleared := answered && w.Lift(content)
+	var resumed []Resumed
+	for _, g := range w.groups {
+		resumed = append(resumed, w.endTurn(now, g, content)...)
+	}
+	return cleared, resumed
+}
+
+func (w *Ward) endTurn(now time.Time, g *group, content Content) []Resumed {
+	if !g.taken || g.turn != content {
+		return nil
+	}
+	g.taken = false
+	return w.next(now, g)
+}
+
+// explain lets the requests go on that waited because they shared a death with
+// quarantined content.
+func (w *Ward) explain(content Content) []Resumed {
+	var resumed []Resumed
+	var left []*group
+	for _, g := range w.groups {
+		if !g.members[content] {
+			left = append(left, g)
+			continue
+		}
+		for _, run := range g.waiting {
+			resumed = append(resumed, Resumed{Run: run, Allowed: run.Content != content})
+		}
+	}
+	w.groups = left
+	return resumed
+}
+
+func (w *Ward) copy(s *Suspect) Suspect {
+	copied := *s
+	copied.Deaths = append([]Death(nil), s.Deaths...)
+	copied.Quarantined = w.condemns(s)
+	return copied
+}
+
+// Told takes suspects from another daemon. Times are by this daemon's clock.
+func (w *Ward) Told(now time.Time, suspects []Suspect) []Resumed {
+	var resumed []Resumed
+	for _, told := range suspects {
+		run := &Run{Content: told.Content, Service: told.Service, Type: told.Type}
+		if len(told.Deaths) == 0 || now.Sub(told.newest()) >= Expiry {
+			continue
+		}
+		suspect := w.suspect(now, run)
+		was := w.condemns(suspect)
+		for _, death := range told.Deaths {
+			suspect.add(death)
+		}
+		if w.condemns(suspect) && !was {
+			resumed = append(resumed, w.explain(told.Content)...)
+		}
+	}
+	return resumed
+}
+
+// Lift forgets content. It returns false if the content isn't known.
+func (w *Ward) Lift(content Content) bool {
+	_, known := w.suspects[content]
+	delete(w.suspects, content)
+	return known
+}
+
+// Expire ends turns that take too long and forgets what has expired.
+func (w *Ward) Expire(now time.Time) []Resumed {
+	var resumed []Resumed
+	var left []*group
+	for _, g := range w.groups {
+		if g.taken && !now.Before(g.turnEnd) {
+			g.taken = false
+			resumed = append(resumed, w.next(now, g)...)
+		}
+		if g.taken || now.Sub(g.at) < turnLimit {
+			left = append(left, g)
+		}
+	}
+	w.groups = left
+	for content := range w.suspects {
+		w.find(now, content)
+	}
+	return resumed
+}
+
+// Suspects returns all suspects, the quarantined first.
+func (w *Ward) Suspects(now time.Time) []Suspect {
+	var suspects []Suspect
+	for content := range w.suspects {
+		if suspect := w.find(now, content); suspect != nil {
+			suspects = append(suspects, w.copy(suspect))
+		}
+	}
+	sort.Slice(suspects, func(i, j int) bool {
+		if suspects[i].Quarantined != suspects[j].Quarantined {
+			return suspects[i].Quarantined
+		}
+		return suspects[i].Content < suspects[j].Content
+	})
+	return suspects
+}
