Quarantine requests that crash targets, and tell peers before the next try

A request that crashed its target was retried and resent until no target was left. Content at two deaths, one after the other, is now refused system-wide; peers are told before the next try, a restarted daemon asks a peer, operators see it in the dump and lift it.

Without the keeper, TestCrashingRequestStopsKillingTargets failed (target_lost in place of quarantined) and TestRequestsBesideACrashingOneAreAnswered found no target left.

dispatch.Result.NoRetry lets the driver forbid another try.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/proxy"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
 )
 
@@ -38,6 +39,8 @@
 	Measuring     proxy.Measuring     `json:"measuring"`
 
 	Records idempotency.RecorderState `json:"records"`
+	// Quarantine holds the contents that were at a target when it died.
+	Quarantine []quarantine.Suspect `json:"quarantine"`
 	// Sections hold the state of parts by name, see AddDumpSection.
 	Sections map[string]any `json:"sections"`
 }
@@ -71,6 +74,8 @@
 		d.observed.serveMetrics(ctx)
 	case PathReady:
 		d.serveReady(ctx)
+	case PathLift:
+		d.serveLiftRequest(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
@@ -111,6 +116,7 @@
 		Targets:       d.proxy.Targets(),
 		Measuring:     d.proxy.Measuring(),
 		Records:       d.once.recorder.State(),
+		Quarantine:    d.quarantine.Suspects(time.Now()),
 		Sections:      d.dumpSections(),
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/proxy"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
 	"github.com/poplarwheel/poplarwheel/internal/settings"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
@@ -47,6 +48,7 @@
 	peerClient  *peer.Client
 	snapshot    atomic.Pointer[config.Snapshot]
 	once        once
+	quarantine  *quarantine.Keeper
 	started     time.Time
 	stop        chan struct{}
 	members     *members
@@ -87,6 +89,7 @@
 	d.peerClient = peer.NewClient([]byte(s.PeerKey))
 	d.follow()
 	d.startOnce()
+	d.startQuarantine()
 	d.observeParts()
 	d.admin = newAdminServer(d.serveAdmin, d.log)
 	return d
@@ -140,6 +143,8 @@
 	go d.sweep()
 	go d.members.run(d.stop)
 	go d.once.recorder.Run(d.stop)
+	go d.quarantine.Run(d.stop)
+	go d.learnSuspects()
 	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -72,6 +72,24 @@
 func (d *Daemon) startOnce() {
 	d.proxy.SetLocator(d.locate)
 	d.peers.Register(peer.MethodOutcome, d.serveOutcome)
+	d.observeOnce()
+}
+
+// observeOnce adds the metrics of the records.
+func (d *Daemon) observeOnce() {
+	registry := d.observed.metrics
+	state := d.once.recorder.State
+	registry.Gauge("record_tokens_ready", "1 while new tokens can be recorded ones.", func() float64 {
+		if state().Ready {
+			return 1
+		}
+		return 0
+	})
+	registry.Gauge("records_held", "Record objects in memory.", func() float64 { return float64(state().Records) })
+	registry.Counter("record_writes_total", "Group writes to record objects.", func() float64 { return float64(state().Groups) })
+	registry.Counter("record_claims_total", "Record objects made ready for new tokens.", func() float64 { return float64(state().Claims) })
+	registry.Counter("record_conflicts_total", "Group writes that found a newer version.", func() float64 { return float64(state().Conflicts) })
+	registry.Counter("record_lost_answers_total", "Group writes whose answer was lost.", func() float64 { return float64(state().Uncertain) })
 }
 
 // applyOnce takes a configuration that comes into force.
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,200 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/membership"
+	"github.com/poplarwheel/poplarwheel/internal/peer"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
+)
+
+// PathLift lifts the quarantine of the content in the "content" query argument,
+// on all entry daemons that answer. It returns a LiftReply.
+const PathLift = "/v1/quarantine/lift"
+
+const (
+	// tellLimit bounds the wait for peers before a suspected request is tried
+	// again.
+	tellLimit = 150 * time.Millisecond
+	// liftLimit bounds the wait for peers when an operator lifts a quarantine.
+	liftLimit = 2 * time.Second
+	// maxTells bounds the suspects that are being told to peers at once. Above it
+	// requests are tried again without telling.
+	maxTells = 32
+	// suspectsRetryDelay is the pause between two attempts to learn the suspects
+	// from a peer.
+	suspectsRetryDelay = 500 * time.Millisecond
+	// suspectsAttempts bounds those attempts.
+	suspectsAttempts = 20
+)
+
+// LiftReply answers PathLift.
+type LiftReply struct {
+	// Known is set if this daemon suspected the content.
+	Known bool `json:"known"`
+	// Unreached are the names of the entry VMs that didn't confirm.
+	Unreached []string `json:"unreached"`
+}
+
+// quarantinePeers implements quarantine.Peers.
+type quarantinePeers struct {
+	daemon  *Daemon
+	telling chan struct{}
+}
+
+var _ quarantine.Peers = (*quarantinePeers)(nil)
+
+// startQuarantine sets up what watches for requests that crash targets.
+func (d *Daemon) startQuarantine() {
+	d.quarantine = quarantine.NewKeeper(&quarantinePeers{daemon: d, telling: make(chan struct{}, maxTells)})
+	d.proxy.SetQuarantine(d.quarantine)
+	d.peers.Register(peer.MethodSuspect, d.serveSuspect)
+	d.peers.Register(peer.MethodLift, d.serveLift)
+	d.peers.Register(peer.MethodSuspects, d.serveSuspects)
+	d.observed.metrics.Gauge("quarantined_requests", "Contents of requests that are not run because they crash targets.", func() float64 {
+		quarantined := 0
+		for _, suspect := range d.quarantine.Suspects(time.Now()) {
+			if suspect.Quarantined {
+				quarantined++
+			}
+		}
+		return float64(quarantined)
+	})
+}
+
+// Tell implements quarantine.Peers.
+func (p *quarantinePeers) Tell(suspect quarantine.Suspect, done func()) {
+	log := p.daemon.log.WithField("content", uint64(suspect.Content)).WithField("service", suspect.Service).WithField("type", suspect.Type)
+	log.WithField("deaths", len(suspect.Deaths)).WithField("quarantined", suspect.Quarantined).Warn("target died while it ran a request")
+	select {
+	case p.telling <- struct{}{}:
+	default:
+		log.Warn("peers not told")
+		go done()
+		return
+	}
+	go func() {
+		p.daemon.callPeers(tellLimit, peer.MethodSuspect, peer.Suspects{Suspects: []quarantine.Suspect{suspect}})
+		<-p.telling
+		done()
+	}()
+}
+
+// Lift implements quarantine.Peers.
+func (p *quarantinePeers) Lift(content quarantine.Content) {
+	select {
+	case p.telling <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		p.daemon.callPeers(liftLimit, peer.MethodLift, peer.Lift{Content: content})
+		<-p.telling
+	}()
+}
+
+// callPeers calls a method at every other entry VM that isn't dead and returns
+// the names of those that didn't answer within limit.
+func (d *Daemon) callPeers(limit time.Duration, method string, params any) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var mu sync.Mutex
+	var unreached []string
+	var calls sync.WaitGroup
+	for _, member := range d.members.list() {
+		if member.Name == d.settings.Name || member.State == membership.Dead {
+			continue
+		}
+		calls.Go(func() {
+			if err := d.peerClient.Call(ctx, d.members.address(member.IP), method, params, nil); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				unreached = append(unreached, member.Name)
+			}
+		})
+	}
+	calls.Wait()
+	return unreached
+}
+
+func (d *Daemon) serveSuspect(_ context.Context, params json.RawMessage) (any, error) {
+	var message peer.Suspects
+	if err := json.Unmarshal(params, &message); err != nil {
+		return nil, err
+	}
+	d.quarantine.Told(time.Now(), message.Suspects)
+	return struct{}{}, nil
+}
+
+func (d *Daemon) serveLift(_ context.Context, params json.RawMessage) (any, error) {
+	var message peer.Lift
+	if err := json.Unmarshal(params, &message); err != nil {
+		return nil, err
+	}
+	d.quarantine.Lift(message.Content)
+	return struct{}{}, nil
+}
+
+func (d *Daemon) serveSuspects(context.Context, json.RawMessage) (any, error) {
+	return peer.Suspects{Suspects: d.quarantine.Suspects(time.Now())}, nil
+}
+
+// learnSuspects takes the suspects of one peer, after a start.
+func (d *Daemon) learnSuspects() {
+	for range suspectsAttempts {
+		if d.learnSuspectsOnce() {
+			return
+		}
+		select {
+		case <-d.stop:
+			return
+		case <-time.After(suspectsRetryDelay):
+		}
+	}
+}
+
+func (d *Daemon) learnSuspectsOnce() bool {
+	for _, member := range d.members.list() {
+		if member.Name == d.settings.Name || member.State == membership.Dead {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), liftLimit)
+		var message peer.Suspects
+		err := d.peerClient.Call(ctx, d.members.address(member.IP), peer.MethodSuspects, struct{}{}, &message)
+		cancel()
+		if err == nil {
+			d.quarantine.Told(time.Now(), message.Suspects)
+			return true
+		}
+	}
+	return false
+}
+
+// LiftQuarantine forgets content on all entry daemons that answer.
+func (d *Daemon) LiftQuarantine(content quarantine.Content) LiftReply {
+	reply := LiftReply{Known: d.quarantine.Lift(content)}
+	reply.Unreached = d.callPeers(liftLimit, peer.MethodLift, peer.Lift{Content: content})
+	d.log.WithField("content", uint64(content)).WithField("unreached", len(reply.Unreached)).Info("quarantine lifted")
+	return reply
+}
+
+func (d *Daemon) serveLiftRequest(ctx *fasthttp.RequestCtx) {
+	content, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("content")), 10, 64)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	body, err := json.Marshal(d.LiftQuarantine(quarantine.Content(content)))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -118,6 +118,8 @@
 	SpentBelow int
 	// SpentKnown is set when the target reported SpentBelow.
 	SpentKnown bool
+	// NoRetry is set when the call must not be tried again.
+	NoRetry bool
 	// Answer is the driver's own.
 	Answer any
 }
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -130,12 +130,12 @@
 		return
 	}
 	if result.Kind != Answered {
-		s.afterFailure(now, call)
+		s.afterFailure(now, call, result.NoRetry)
 		return
 	}
 	if result.ServerError && call.Type.Idempotent {
 		call.state.failure = result.Answer
-		s.afterFailure(now, call)
+		s.afterFailure(now, call, result.NoRetry)
 		return
 	}
 	s.finish(call, Reply, result.Answer, "")
@@ -148,11 +148,11 @@
 }
 
 // afterFailure goes on after an attempt without a good answer.
-func (s *Scheduler) afterFailure(now time.Time, call *Call) {
+func (s *Scheduler) afterFailure(now time.Time, call *Call, noRetry bool) {
 	if len(call.state.live) > 0 {
 		return
 	}
-	if s.retry(now, call) {
+	if !noRetry && s.retry(now, call) {
 		return
 	}
 	reason := ReasonUnavailable
--- /dev/null
+++ b/internal/peer/quarantine.go
@@ -0,0 +1,23 @@
+package peer
+
+import "github.com/poplarwheel/poplarwheel/internal/quarantine"
+
+// Methods about requests that crash targets.
+const (
+	// MethodSuspect carries Suspects and is answered by an empty object.
+	MethodSuspect = "quarantine.suspect"
+	// MethodLift carries a Lift and is answered by an empty object.
+	MethodLift = "quarantine.lift"
+	// MethodSuspects is answered by all Suspects of the receiver.
+	MethodSuspects = "quarantine.suspects"
+)
+
+// Suspects are contents that were at a target when it died.
+type Suspects struct {
+	Suspects []quarantine.Suspect `json:"suspects"`
+}
+
+// Lift ends the suspicion of one content.
+type Lift struct {
+	Content quarantine.Content `json:"content,string"`
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -47,6 +47,10 @@
 		refuse(request, exchange, problem)
 		return
 	}
+	if c.key == nil && c.quarantined(now) {
+		c.replyQuarantined()
+		return
+	}
 	if c.key == nil {
 		c.start(exchange.Loop())
 		return
@@ -164,6 +168,7 @@
 
 // settle carries out the end of the call.
 func (c *call) settle(current gnet.EventLoop, action dispatch.Action) {
+	c.endSuspicion(action.Kind)
 	switch action.Kind {
 	case dispatch.Reply:
 		response := action.Answer.(*fasthttp.Response)
--- a/internal/proxy/once.go
+++ b/internal/proxy/once.go
@@ -78,7 +78,7 @@
 		Fingerprint: fingerprint(c.request),
 		Number:      number,
 		Ambiguous:   !numbered,
-		Decline:     c.needsRecord(),
+		Decline:     c.needsRecord() || c.quarantined(now),
 		CommitBy:    earlier(c.decision.Deadline, now.Add(commitWait)),
 		AnswerBy:    c.decision.Deadline,
 		Decided:     c.decided,
@@ -158,6 +158,8 @@
 		return string(dispatch.ReasonUnavailable)
 	case reason == idempotency.ReasonDeclined && c.needsRecord():
 		return reasonRecordRequired
+	case reason == idempotency.ReasonDeclined:
+		return reasonQuarantined
 	}
 	return string(reason)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,23 +18,27 @@
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/probe"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
 // Proxy carries the calls of all services. It is safe for concurrent use.
 type Proxy struct {
-	log       logrus.FieldLogger
-	client    *targetclient.Client
-	probes    *probe.Client
-	checks    *fasthttp.Client
-	guard     *idempotency.Guard
-	locate    Locator
-	instance  string
-	nextCall  atomic.Uint64
-	measuring measuring
-	shards    atomic.Pointer[map[string]*shard]
-	stop      chan struct{}
-	stopOnce  sync.Once
+	log    logrus.FieldLogger
+	client *targetclient.Client
+	probes *probe.Client
+	checks *fasthttp.Client
+	guard  *idempotency.Guard
+	locate Locator
+	// quarantine is nil in a daemon that doesn't look for requests that crash
+	// targets.
+	quarantine *quarantine.Keeper
+	instance   string
+	nextCall   atomic.Uint64
+	measuring  measuring
+	shards     atomic.Pointer[map[string]*shard]
+	stop       chan struct{}
+	stopOnce   sync.Once
 }
 
 // New returns a proxy without services. Instance makes attempt IDs unique among
@@ -186,8 +190,6 @@
 	s.proxy.client.Start(loop, handle, payload.attemptDeadline(), request, func(response *fasthttp.Response, err error) {
 		fasthttp.ReleaseRequest(request)
 		result := s.proxy.resultOf(response, err)
-		s.event(loop, func(now time.Time) []dispatch.Action {
-			return s.scheduler.Finished(now, attempt, result)
-		})
+		s.finished(loop, attempt, result, err)
 	})
 }
--- /dev/null
+++ b/internal/proxy/quarantine.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"errors"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/dispatch"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
+	"github.com/poplarwheel/poplarwheel/internal/targetclient"
+	"github.com/poplarwheel/poplarwheel/internal/wire"
+)
+
+// reasonQuarantined is the error code of requests that crash targets.
+const reasonQuarantined = "quarantined"
+
+// SetQuarantine sets the keeper of requests that crash targets. It must be called
+// before Serve.
+func (p *Proxy) SetQuarantine(keeper *quarantine.Keeper) { p.quarantine = keeper }
+
+func (c *call) content() quarantine.Content { return quarantine.Content(fingerprint(c.request)) }
+
+// quarantined reports whether the call must not be run.
+func (c *call) quarantined(now time.Time) bool {
+	keeper := c.shard.proxy.quarantine
+	return keeper != nil && keeper.Active() && keeper.Quarantined(now, c.content())
+}
+
+// replyQuarantined refuses a call without an idempotency key. Earlier sends of it
+// may have run.
+func (c *call) replyQuarantined() {
+	outcome := wire.OutcomeUnknown
+	if number, numbered := resendNumber(c.request); numbered && number == 0 {
+		outcome = wire.OutcomeNotRun
+	}
+	c.reply(fasthttp.StatusServiceUnavailable, outcome, reasonQuarantined)
+}
+
+// targetDied reports whether an attempt ended as if its target had died.
+func targetDied(err error) bool {
+	var lost *targetclient.LostError
+	return errors.As(err, &lost) && errors.Is(lost.Cause, targetclient.ErrClosed)
+}
+
+// finished reports the end of an attempt to the scheduler. If the target died,
+// other daemons are told first.
+func (s *shard) finished(loop gnet.EventLoop, attempt *dispatch.Attempt, result dispatch.Result, err error) {
+	conclude := func(current gnet.EventLoop) {
+		s.event(current, func(now time.Time) []dispatch.Action {
+			return s.scheduler.Finished(now, attempt, result)
+		})
+	}
+	if s.proxy.quarantine == nil || !targetDied(err) {
+		conclude(loop)
+		return
+	}
+	payload := attempt.Call.Payload.(*call)
+	s.proxy.quarantine.Died(time.Now(), &quarantine.Run{
+		Content: payload.content(),
+		Service: string(payload.request.Header.Peek(wire.HeaderService)),
+		Type:    attempt.Call.Type.Name,
+		Target:  attempt.Target.Name,
+		Began:   attempt.Started,
+		Resume: func(allowed bool) {
+			result.NoRetry = !allowed
+			conclude(nil)
+		},
+	})
+}
+
+// endSuspicion tells the keeper how a call ended.
+func (c *call) endSuspicion(kind dispatch.ActionKind) {
+	keeper := c.shard.proxy.quarantine
+	if keeper != nil && keeper.Active() {
+		keeper.Ended(time.Now(), c.content(), kind == dispatch.Reply || kind == dispatch.Late)
+	}
+}
