--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -108,6 +108,18 @@
 	require.Greater(t, names, 10)
 }
 
+// The page for the person on call leads to every matter.
+func TestOperatorsPageLinksEveryMatter(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(root, "docs", "OPERATORS.md"))
+	require.NoError(t, err)
+	matters, err := filepath.Glob(filepath.Join(root, "docs", "operators", "*.md"))
+	require.NoError(t, err)
+	require.NotEmpty(t, matters)
+	for _, matter := range matters {
+		require.Contains(t, string(page), "](operators/"+filepath.Base(matter)+")")
+	}
+}
+
 // Links to files of the project have to lead somewhere.
 func TestLinksResolve(t *testing.T) {
 	err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
