Bound health checks to 40 a second a daemon and count them

Cause: the demo counted 1.07 measuring messages a call once health checks came, and 100 checks a second with a connection each take some 40 KB/s, over the 17 KB/s that control may spend (arithmetic). Ruled out: a share of the measuring budget (checks ask for health, not load, and a share of 1/24 would find a leaving target after half a minute). Change: 10 checks a tick of 250 ms; the dump counts them. After: go test ./internal/proxy ./internal/dispatch ./test/docs pass. Conclusion: at the design size a daemon's 690 targets are checked every 17 s, so the platform's list is the faster sign there; see docs/CAPACITY.md.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 SEED ?= 1
 DURATION ?= 60s
 
-.PHONY: soak bench bench-policy bench-policy-full
+.PHONY: soak bench bench-capacity bench-policy bench-policy-full
 
 # Random failures against separate processes; SEED and DURATION choose the run.
 soak: build
@@ -32,6 +32,9 @@
 bench: build
 	$(GO) run ./bench/latency
 
+bench-capacity: build
+	$(GO) run ./bench/capacity
+
 bench-policy:
 	$(GO) run ./bench/policy
 
--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -121,6 +121,7 @@
 type cost struct {
 	cpuPercent      float64
 	residentMB      float64
+	anonymousMB     float64
 	peerBytes       float64
 	peerMessages    float64
 	platformReads   float64
@@ -147,6 +148,7 @@
 	at       time.Time
 	cpu      time.Duration
 	resident int64
+	heap     int64
 	bytes    uint64
 	messages uint64
 	platform platformd.Counts
@@ -158,6 +160,7 @@
 		usage := process.Of(m.fleet.Pid(fleet.EntryName(i)))
 		sum.cpu += usage.CPU
 		sum.resident += usage.ResidentBytes
+		sum.heap += usage.AnonymousBytes
 	}
 	for i := range m.point.entries {
 		dump, err := m.fleet.Dump(i)
@@ -178,6 +181,7 @@
 	return cost{
 		cpuPercent:      100 * (t.cpu - before.cpu).Seconds() / share,
 		residentMB:      float64(t.resident) / float64(entries) / (1 << 20),
+		anonymousMB:     float64(t.heap) / float64(entries) / (1 << 20),
 		peerBytes:       float64(t.bytes-before.bytes) / share,
 		peerMessages:    float64(t.messages-before.messages) / share,
 		platformReads:   float64(t.platform.Reads-before.platform.Reads) / seconds,
@@ -187,8 +191,8 @@
 }
 
 func (c cost) print(name string, p point) {
-	fmt.Printf("point=%s entries=%d services=%d targets=%d cpu_percent=%.2f resident_mb=%.1f peer_bytes_per_s=%.0f peer_messages_per_s=%.1f platform_reads_per_s=%.1f platform_writes_per_s=%.1f platform_watches_per_s=%.1f\n",
-		name, p.entries, p.services, p.targets, c.cpuPercent, c.residentMB, c.peerBytes, c.peerMessages, c.platformReads, c.platformWrites, c.platformWatches)
+	fmt.Printf("point=%s entries=%d services=%d targets=%d cpu_percent=%.2f resident_mb=%.1f anonymous_mb=%.1f peer_bytes_per_s=%.0f peer_messages_per_s=%.1f platform_reads_per_s=%.1f platform_writes_per_s=%.1f platform_watches_per_s=%.1f\n",
+		name, p.entries, p.services, p.targets, c.cpuPercent, c.residentMB, c.anonymousMB, c.peerBytes, c.peerMessages, c.platformReads, c.platformWrites, c.platformWatches)
 }
 
 // changes measures single changes one after the other.
--- a/bench/internal/process/process.go
+++ b/bench/internal/process/process.go
@@ -22,6 +22,8 @@
 	CPU time.Duration
 	// ResidentBytes is the memory in use.
 	ResidentBytes int64
+	// AnonymousBytes is the part of it that is no file's, such as the heap.
+	AnonymousBytes int64
 	// Threads is the number of threads.
 	Threads int
 }
@@ -29,9 +31,10 @@
 // Of returns the usage of a process. A process that is gone has used nothing.
 func Of(pid int) Usage {
 	return Usage{
-		CPU:           cpuTime(pid),
-		ResidentBytes: statusNumber(pid, "VmRSS:") * 1024,
-		Threads:       int(statusNumber(pid, "Threads:")),
+		CPU:            cpuTime(pid),
+		ResidentBytes:  statusNumber(pid, "VmRSS:") * 1024,
+		AnonymousBytes: statusNumber(pid, "RssAnon:") * 1024,
+		Threads:        int(statusNumber(pid, "Threads:")),
 	}
 }
 
--- a/internal/proxy/checks.go
+++ b/internal/proxy/checks.go
@@ -17,7 +17,7 @@
 	checkTimeout = 1 * time.Second
 	// checksPerTick bounds the health checks that this daemon starts in one tick,
 	// over all services.
-	checksPerTick = 25
+	checksPerTick = 10
 )
 
 // checkTargets makes the health checks of all services until Close.
@@ -60,6 +60,7 @@
 
 // check makes one health check.
 func (s *shard) check(check dispatch.Check) {
+	s.proxy.measuring.checks.Add(1)
 	result := s.proxy.checkHealth(check.Address)
 	s.event(nil, func(now time.Time) []dispatch.Action {
 		s.scheduler.Checked(now, check, result)
--- a/internal/proxy/measure.go
+++ b/internal/proxy/measure.go
@@ -25,6 +25,9 @@
 	FailedProbes uint64 `json:"failed_probes"`
 	// ReportBytes counts the bytes of load reports carried on answers.
 	ReportBytes uint64 `json:"report_bytes"`
+	// HealthChecks counts health checks. They have a limit of their own and are
+	// no part of the measuring budget.
+	HealthChecks uint64 `json:"health_checks"`
 }
 
 // measuring counts the cost of measuring.
@@ -33,6 +36,7 @@
 	probeBytes  atomic.Uint64
 	failed      atomic.Uint64
 	reportBytes atomic.Uint64
+	checks      atomic.Uint64
 	entryVMs    atomic.Int64
 }
 
@@ -43,6 +47,7 @@
 		ProbeBytes:   p.measuring.probeBytes.Load(),
 		FailedProbes: p.measuring.failed.Load(),
 		ReportBytes:  p.measuring.reportBytes.Load(),
+		HealthChecks: p.measuring.checks.Load(),
 	}
 }
 
