--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -8,9 +8,11 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/client"
@@ -58,6 +60,7 @@
 		return nil, err
 	}
 	defer r.fleet.Close()
+	defer r.closeOnInterrupt()()
 	if err := r.load(); err != nil {
 		return nil, err
 	}
@@ -69,6 +72,26 @@
 	return append(check(r.history, events), checkCrashes(events)...), nil
 }
 
+// exitInterrupted is the exit code after SIGINT or SIGTERM.
+const exitInterrupted = 130
+
+// closeOnInterrupt ends all processes and the run on SIGINT or SIGTERM, until the
+// returned function is called.
+func (r *runner) closeOnInterrupt() (stop func()) {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		if _, ok := <-interrupted; ok {
+			r.fleet.Close()
+			os.Exit(exitInterrupted)
+		}
+	}()
+	return func() {
+		signal.Stop(interrupted)
+		close(interrupted)
+	}
+}
+
 // runner is one run.
 type runner struct {
 	options options
