Let the end-to-end tests share test/fleet

Cause: test/e2e kept its own copy of the code that starts the processes, and two packages their own copy of the code that builds the binary. Assertions are unchanged.

--- a/test/e2e/observe_test.go
+++ b/test/e2e/observe_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"regexp"
 	"strconv"
 	"testing"
@@ -20,9 +19,8 @@
 
 func TestCallsAreSeenInMetricsAndDump(t *testing.T) {
 	f := startFleet(t, 2, 3)
-	revision := f.accept(t, f.answers())
-	f.waitRevision(t, revision)
-	caller := client.New(client.Options{Bootstrap: []string{f.entryAddress(0)}, Service: "stock"})
+	revision := f.accept(t)
+	caller := client.New(client.Options{Bootstrap: []string{f.EntryAddress(0)}, Service: "stock"})
 	for range calls {
 		answer, err := caller.Do(client.Request{Type: "availability", Path: "/availability", Timeout: 5 * time.Second})
 		require.NoError(t, err)
@@ -37,8 +35,8 @@
 		require.Equal(t, 3.0, sample(t, text, `poplarwheel_targets{service="stock"}`))
 		require.Positive(t, sample(t, text, `poplarwheel_platform_calls_total{operation="watch",result="ok"}`))
 		require.NotContains(t, text, "poplarwheel_invariant_breaches_total{")
-		dump, ok := f.dump(i)
-		require.True(t, ok)
+		dump, err := f.Dump(i)
+		require.NoError(t, err)
 		require.Contains(t, dump.Sections, "services")
 		require.Contains(t, dump.Sections, "invariant_breaches")
 	}
@@ -48,9 +46,9 @@
 
 func TestLoadReportsPercentiles(t *testing.T) {
 	f := startFleet(t, 2, 3)
-	f.waitRevision(t, f.accept(t, f.answers()))
+	f.accept(t)
 	var report load.Report
-	output := f.run(t, nil, "load", "--entries", f.entryAddress(0)+","+f.entryAddress(1), "--service", "stock", "--type", "book",
+	output := f.run(t, nil, "load", "--entries", f.EntryAddress(0)+","+f.EntryAddress(1), "--service", "stock", "--type", "book",
 		"--once", "--resends", "3", "--rate", "100", "--duration", "1s", "--within-ms", "5000", "--arrivals", "constant", "--json")
 	require.NoError(t, json.Unmarshal(output, &report))
 	require.Equal(t, int64(99), report.Calls)
@@ -67,7 +65,7 @@
 
 func (f *fleet) metrics(t *testing.T, i int) string {
 	t.Helper()
-	url := "http://" + net.JoinHostPort(f.entries[i], adminPort) + daemon.PathMetrics
+	url := "http://" + f.AdminAddress(i) + daemon.PathMetrics
 	status, body, err := fasthttp.GetTimeout(nil, url, settleTimeout)
 	require.NoError(t, err)
 	require.Equal(t, fasthttp.StatusOK, status)
--- a/test/soak/run_test.go
+++ b/test/soak/run_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/poplarwheel/poplarwheel/test/fleet"
 )
 
 // TestShortRunHasNoBreach is the randomised run in little, with fixed seeds.
@@ -51,9 +51,8 @@
 
 func buildBinary(t *testing.T) string {
 	t.Helper()
-	binary := filepath.Join(t.TempDir(), "poplarwheel")
-	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/poplarwheel").CombinedOutput()
-	require.NoError(t, err, "%s", output)
+	binary, err := fleet.Build(t.TempDir())
+	require.NoError(t, err)
 	return binary
 }
 
