Don't hedge a call while peers are told that its target died

The traces show second attempts 20 to 25 ms after a first that died at once: its end reaches the scheduler only after the peers were told, and the hedge timer fired meanwhile. Ruled out: daemons that were not told (the same daemon made both attempts). Change: Scheduler.StopHedging, called when an attempt's target dies.

--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -225,6 +225,18 @@
 	}
 }
 
+// StopHedging keeps a call from being hedged while the driver looks into the end
+// of one of its attempts. The returned actions are valid until the next event.
+func (s *Scheduler) StopHedging(_ time.Time, call *Call) []Action {
+	s.actions = s.actions[:0]
+	if call.state.done || call.state.hedgeAt.IsZero() {
+		return s.actions
+	}
+	call.state.hedgeAt = time.Time{}
+	s.schedule(call)
+	return s.actions
+}
+
 // Abandon ends a call whose caller is gone, also before its arrival.
 // Non-idempotent attempts go on, so that their outcome becomes known. The
 // returned actions are valid until the next event.
--- a/internal/dispatch/scheduler_test.go
+++ b/internal/dispatch/scheduler_test.go
@@ -111,6 +111,19 @@
 	require.Equal(t, []ActionKind{Late}, kinds(s.Finished(now, first, Result{Kind: Answered, Answer: "slow"})))
 }
 
+// A call whose attempt died with its target isn't hedged while other daemons are
+// told of the death.
+func TestCallIsNotHedgedWhileADeathIsTold(t *testing.T) {
+	s := testScheduler(t, testService(3))
+	requestType := read()
+	requestType.HedgeAfterMs = 10
+	call := testCall(1, requestType)
+	died := only(t, s.Arrive(start, call), Start).Attempt
+	require.Empty(t, s.StopHedging(start, call))
+	require.Empty(t, s.Expire(start.Add(20*time.Millisecond)))
+	only(t, s.Finished(start.Add(30*time.Millisecond), died, Result{Kind: Lost, NoRetry: true}), Unknown)
+}
+
 func TestLostBookingIsNotSentAgain(t *testing.T) {
 	s := testScheduler(t, testService(3))
 	call := testCall(1, booking())
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -56,6 +56,9 @@
 		conclude(loop)
 		return
 	}
+	s.event(loop, func(now time.Time) []dispatch.Action {
+		return s.scheduler.StopHedging(now, attempt.Call)
+	})
 	payload := attempt.Call.Payload.(*call)
 	s.proxy.quarantine.Died(time.Now(), &quarantine.Run{
 		Content: payload.content(),
