--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -59,11 +59,30 @@
 	if err := configure(f); err != nil {
 		return err
 	}
+	if err := printMemory(f); err != nil {
+		return err
+	}
+	return compare(f, o)
+}
+
+// compare measures both ways and prints what they cost.
+func compare(f *fleet.Fleet, o options) error {
 	pid := f.Pid(fleet.EntryName(0))
+	allocated, err := allocations(f)
+	if err != nil {
+		return err
+	}
 	before := process.Of(pid).CPU
 	direct, relayed := measure(f, o)
 	spent := process.Of(pid).CPU - before
+	allocatedAfter, err := allocations(f)
+	if err != nil {
+		return err
+	}
 	print(o, direct, relayed, spent)
+	if calls := relayed.calls; calls > 0 {
+		fmt.Printf("entry_allocations_per_call %.0f objects\n", (allocatedAfter-allocated)/float64(calls))
+	}
 	return nil
 }
 
@@ -103,7 +122,6 @@
 }
 
 func print(o options, direct, relayed *way, spent time.Duration) {
-	calls := relayed.histogram.TotalCount()
 	for _, quantile := range []float64{50, 99, 99.9} {
 		straight := direct.histogram.ValueAtQuantile(quantile)
 		through := relayed.histogram.ValueAtQuantile(quantile)
@@ -114,8 +132,8 @@
 	fmt.Printf("rate %d calls/s\n", o.rate)
 	fmt.Printf("event_loops %d loops\n", o.loops)
 	fmt.Printf("failed %d calls\n", direct.failed+relayed.failed)
-	if calls > 0 {
-		perCall := float64(spent.Microseconds()) / float64(calls)
+	if relayed.calls > 0 {
+		perCall := float64(spent.Microseconds()) / float64(relayed.calls)
 		fmt.Printf("entry_cpu_per_call %.1f us\n", perCall)
 		fmt.Printf("entry_calls_per_core %.0f calls/s\n", 1e6/perCall)
 	}
--- a/bench/latency/way.go
+++ b/bench/latency/way.go
@@ -25,7 +25,9 @@
 	address   string
 	mu        sync.Mutex
 	histogram *hdrhistogram.Histogram
-	failed    int
+	// calls counts all calls, those of the warm-up included.
+	calls  int
+	failed int
 }
 
 func newWay(address string) *way {
@@ -60,9 +62,7 @@
 			w.fail()
 			return
 		}
-		if due.After(recordFrom) {
-			w.record(time.Since(from))
-		}
+		w.record(time.Since(from), due.After(recordFrom))
 	}
 }
 
@@ -82,9 +82,14 @@
 	return response.StatusCode() == fasthttp.StatusOK
 }
 
-func (w *way) record(took time.Duration) {
+// record counts a call and, once warm, its latency.
+func (w *way) record(took time.Duration, warm bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.calls++
+	if !warm {
+		return
+	}
 	_ = w.histogram.RecordValue(took.Microseconds())
 }
 
