Name entry VMs of the caller's own region

Cause: docs/CAPACITY.md showed that entry sets ignored regions, so that with three regions most calls would cross two of them. Ruled out: a region in the caller's question; see docs/design/entry-sets.md. Change: a daemon chooses among the members of its own region while one is live. After: TestCallersStayInTheirRegionWhileItServes passes; it can't build before. Conclusion: not measured with distances between regions.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -244,7 +244,8 @@
 }
 
 func (d *Daemon) entryAddresses(service *config.Service) []string {
-	chosen := entryset.Choose(service.Name, d.members.list(), entryset.Size(service.EntrySetSize, service.CallsPerSecond))
+	members := entryset.InRegion(d.members.list(), d.settings.Region)
+	chosen := entryset.Choose(service.Name, members, entryset.Size(service.EntrySetSize, service.CallsPerSecond))
 	if len(chosen) == 0 {
 		return []string{d.settings.CallerAddress()}
 	}
