Ask peers at start which targets are leaving

Ruled out: the peers' messages, which are sent once and had been sent before. Change: before its first configuration takes effect, a daemon asks all peers, for 1 s at most. Before: TestDaemonStartedInAnOutageKnowsLeavingTargets fails. Conclusion: the sign reaches daemons without memory, too.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,7 +116,12 @@
 }
 
 func (d *Daemon) apply(snapshot *config.Snapshot) {
+	var leaving []string
+	if d.snapshot.Load().Revision == 0 {
+		leaving = d.askLeavingTargets()
+	}
 	d.proxy.Apply(snapshot)
+	d.proxy.SetTargetsLeavingByPeer(leaving)
 	d.observed.metrics.Calls.Configure(snapshot)
 	d.targetsConfigured()
 	d.applyOnce(snapshot)
--- a/internal/daemon/leavingtargets.go
+++ b/internal/daemon/leavingtargets.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 )
 
@@ -14,6 +16,8 @@
 	leavingTick = 500 * time.Millisecond
 	// leavingLimit bounds the wait for peers that are told of them.
 	leavingLimit = time.Second
+	// leavingAskLimit bounds the wait for peers that are asked at start.
+	leavingAskLimit = time.Second
 )
 
 // startLeavingTargets registers the method by which peers tell of leaving targets.
@@ -27,7 +31,33 @@
 		return nil, err
 	}
 	d.proxy.SetTargetsLeavingByPeer(message.Names)
-	return struct{}{}, nil
+	return peer.LeavingTargets{Names: d.proxy.LeavingTargets()}, nil
+}
+
+// askLeavingTargets asks all peers which targets have said that they are leaving.
+// A daemon that starts during an outage of the platform has no other way to know.
+func (d *Daemon) askLeavingTargets() []string {
+	ctx, cancel := context.WithTimeout(context.Background(), leavingAskLimit)
+	defer cancel()
+	var mu sync.Mutex
+	var names []string
+	var calls sync.WaitGroup
+	for _, member := range d.members.list() {
+		if member.Name == d.settings.Name || member.State == membership.Dead {
+			continue
+		}
+		calls.Go(func() {
+			var reply peer.LeavingTargets
+			if err := d.peerClient.Call(ctx, d.members.address(member.IP), peer.MethodLeavingTargets, peer.LeavingTargets{}, &reply); err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			names = append(names, reply.Names...)
+		})
+	}
+	calls.Wait()
+	return names
 }
 
 // tellLeavingTargets tells peers of each target that has newly said that it is
--- a/test/cluster/leavingtarget_test.go
+++ b/test/cluster/leavingtarget_test.go
@@ -33,6 +33,27 @@
 	}
 }
 
+// TestDaemonStartedInAnOutageKnowsLeavingTargets: it asks its peers before it
+// serves, so that the target gets nothing from it.
+func TestDaemonStartedInAnOutageKnowsLeavingTargets(t *testing.T) {
+	f := startStock(t, 3, 2)
+	require.NoError(t, f.SetTargetFaults(0, targetd.Faults{Leaving: true, LieHealthy: true}))
+	caller := client.New(client.Options{Bootstrap: []string{f.EntryAddress(0)}, Service: "stock"})
+	defer caller.Close()
+	require.NoError(t, fleet.Await("the first daemon to know", func() bool {
+		_, _ = caller.DoAt(context.Background(), f.EntryAddress(0), client.Request{Type: "availability", Path: "/", Timeout: time.Second})
+		return seenLeaving(f, 0)
+	}))
+	require.NoError(t, f.Kill(fleet.EntryName(2)))
+	require.NoError(t, f.SetPlatformFaults(platformd.Faults{Down: true}))
+	require.NoError(t, f.StartEntry(2))
+	require.NoError(t, fleet.Await("the configuration", func() bool {
+		ready, err := f.Ready(2)
+		return err == nil && ready.Revision > 0
+	}))
+	require.True(t, seenLeaving(f, 2))
+}
+
 // seenLeaving reports whether entry daemon i takes target 0 to be leaving.
 func seenLeaving(f *fleet.Fleet, i int) bool {
 	dump, err := f.Dump(i)
