Let only good answers clear a request that crashed a target

A retry that met a target which fails fast got status 500, and that answer lifted the suspicion everywhere. Ruled out: peers that were not told (a daemon that had seen deaths itself ran it). Change: answers with status 500 and above don't clear.

--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -168,7 +168,7 @@
 
 // settle carries out the end of the call.
 func (c *call) settle(current gnet.EventLoop, action dispatch.Action) {
-	c.endSuspicion(action.Kind)
+	c.endSuspicion(action)
 	switch action.Kind {
 	case dispatch.Reply:
 		response := action.Answer.(*fasthttp.Response)
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -73,10 +73,14 @@
 	})
 }
 
-// endSuspicion tells the keeper how a call ended.
-func (c *call) endSuspicion(kind dispatch.ActionKind) {
+// endSuspicion tells the keeper how a call ended. Only a target that has run the
+// content and lived clears it; one that fails may have refused it unread.
+func (c *call) endSuspicion(action dispatch.Action) {
 	keeper := c.shard.proxy.quarantine
-	if keeper != nil && keeper.Active() {
-		keeper.Ended(time.Now(), c.content(), kind == dispatch.Reply || kind == dispatch.Late)
+	if keeper == nil || !keeper.Active() {
+		return
 	}
+	response, answered := action.Answer.(*fasthttp.Response)
+	good := answered && response.StatusCode() < fasthttp.StatusInternalServerError
+	keeper.Ended(time.Now(), c.content(), good)
 }
--- a/test/e2e/quarantine_test.go
+++ b/test/e2e/quarantine_test.go
@@ -163,3 +163,23 @@
 	outcome, _ := c.check(1, "killer", false, 2)
 	require.Equal(t, wire.OutcomeRan, outcome)
 }
+
+// TestFailureAnswerDoesNotClearACrashingRequest: a target that fails fast has not
+// run the request, so its answer says nothing for it. In each round one target
+// runs requests and the others fail fast.
+func TestFailureAnswerDoesNotClearACrashingRequest(t *testing.T) {
+	const targets = 6
+	c := startChecks(t, 3, targets)
+	for healthy := range targets {
+		for i := range targets {
+			if c.Running(system.TargetName(i)) {
+				require.NoError(t, c.SetTargetFaults(i, targetd.Faults{FailFast: i != healthy}))
+			}
+		}
+		for entry := range 3 {
+			c.check(entry, "killer", true, 1)
+		}
+	}
+	require.Positive(t, c.dead())
+	require.LessOrEqual(t, c.dead(), 3)
+}
