Pass on to a starting daemon which targets the list shows as leaving

Ruled out: taking a peer's list for the target's own word (it would stick after the target is back). Change: peers answer with both; what they have from the list counts until the daemon reads the list itself. Before: TestDaemonStartedInAnOutageKnowsTheList fails. After: passes, three times in a row. Conclusion: both signs reach a daemon that starts in an outage.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,7 +118,7 @@
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	var leaving []string
 	if d.snapshot.Load().Revision == 0 {
-		leaving = d.askLeavingTargets()
+		leaving = d.learnLeavingTargets()
 	}
 	d.proxy.Apply(snapshot)
 	d.proxy.SetTargetsLeavingByPeer(leaving)
--- a/internal/daemon/leavingtargets.go
+++ b/internal/daemon/leavingtargets.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,16 +33,33 @@
 		return nil, err
 	}
 	d.proxy.SetTargetsLeavingByPeer(message.Names)
-	return peer.LeavingTargets{Names: d.proxy.LeavingTargets()}, nil
+	listed := slices.Collect(maps.Keys(*d.targetsLeaving.Load()))
+	return peer.LeavingTargets{Names: d.proxy.LeavingTargets(), Listed: listed}, nil
 }
 
-// askLeavingTargets asks all peers which targets have said that they are leaving.
-// A daemon that starts during an outage of the platform has no other way to know.
-func (d *Daemon) askLeavingTargets() []string {
+// learnLeavingTargets asks all peers which targets are leaving. A daemon that
+// starts during an outage of the platform has no other way to know. What peers
+// have from the list counts until this daemon reads the list. It returns the
+// targets that have said so themselves.
+func (d *Daemon) learnLeavingTargets() []string {
+	unread := d.targetsLeaving.Load()
+	answer := d.askLeavingTargets()
+	listed := make(map[string]bool, len(answer.Listed))
+	for _, name := range answer.Listed {
+		listed[name] = true
+	}
+	if len(*unread) == 0 {
+		d.targetsLeaving.CompareAndSwap(unread, &listed)
+	}
+	return answer.Names
+}
+
+// askLeavingTargets returns what all peers know together.
+func (d *Daemon) askLeavingTargets() peer.LeavingTargets {
 	ctx, cancel := context.WithTimeout(context.Background(), leavingAskLimit)
 	defer cancel()
 	var mu sync.Mutex
-	var names []string
+	var known peer.LeavingTargets
 	var calls sync.WaitGroup
 	for _, member := range d.members.list() {
 		if member.Name == d.settings.Name || member.State == membership.Dead {
@@ -53,11 +72,12 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			names = append(names, reply.Names...)
+			known.Names = append(known.Names, reply.Names...)
+			known.Listed = append(known.Listed, reply.Listed...)
 		})
 	}
 	calls.Wait()
-	return names
+	return known
 }
 
 // tellLeavingTargets tells peers of each target that has newly said that it is
--- a/internal/peer/targets.go
+++ b/internal/peer/targets.go
@@ -4,8 +4,10 @@
 // answered by the LeavingTargets of the receiver.
 const MethodLeavingTargets = "targets.leaving"
 
-// LeavingTargets are targets that a daemon has from themselves.
+// LeavingTargets are targets that are leaving, by their VM names.
 type LeavingTargets struct {
-	// Names are VM names.
+	// Names have said so themselves.
 	Names []string `json:"names"`
+	// Listed are leaving or gone by the platform's list.
+	Listed []string `json:"listed,omitempty"`
 }
