--- /dev/null
+++ b/internal/callerserver/exchange.go
@@ -0,0 +1,106 @@
+package callerserver
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+	"github.com/valyala/bytebufferpool"
+	"github.com/valyala/fasthttp"
+)
+
+// Enrolled is the context of a connection that others have added to the server's
+// event loops. Its methods are called on the connection's loop.
+type Enrolled interface {
+	Opened(conn gnet.Conn) gnet.Action
+	Traffic(conn gnet.Conn) gnet.Action
+	Closed(err error)
+}
+
+// Exchange is one request and its answer.
+type Exchange struct {
+	server  *Server
+	conn    gnet.Conn
+	loop    gnet.EventLoop
+	state   *connState
+	replied atomic.Bool
+	close   bool
+
+	observer Observer
+	started  time.Time
+
+	mu     sync.Mutex
+	gone   bool
+	onGone func()
+}
+
+// OnCallerGone calls f once if the caller closes the connection before the
+// answer.
+func (e *Exchange) OnCallerGone(f func()) {
+	e.mu.Lock()
+	gone := e.gone
+	e.onGone = f
+	e.mu.Unlock()
+	if gone {
+		f()
+	}
+}
+
+// CallerIP returns the IP of the caller.
+func (e *Exchange) CallerIP() string { return e.state.callerIP }
+
+func (e *Exchange) callerGone() {
+	e.mu.Lock()
+	f := e.onGone
+	e.gone = true
+	e.mu.Unlock()
+	if f != nil && !e.replied.Load() {
+		f()
+	}
+}
+
+// Loop returns the event loop of the caller's connection.
+func (e *Exchange) Loop() gnet.EventLoop { return e.loop }
+
+// Reply sends the answer. It may be called once, from any goroutine.
+func (e *Exchange) Reply(response *fasthttp.Response) {
+	if e.replied.Swap(true) {
+		return
+	}
+	buffer := e.serialize(response)
+	err := e.conn.AsyncWrite(buffer.B, func(conn gnet.Conn, err error) error {
+		bytebufferpool.Put(buffer)
+		return e.server.written(conn, e, err)
+	})
+	if err != nil {
+		e.server.inFlight.Add(-1)
+	}
+}
+
+// ReplyOnLoop is Reply for code that runs on Loop. It saves a wake-up of the
+// event loop.
+func (e *Exchange) ReplyOnLoop(response *fasthttp.Response) {
+	if e.replied.Swap(true) {
+		return
+	}
+	buffer := e.serialize(response)
+	err := net.ErrClosed
+	if e.state.open {
+		_, err = e.conn.Write(buffer.B)
+	}
+	bytebufferpool.Put(buffer)
+	_ = e.server.written(e.conn, e, err)
+}
+
+func (e *Exchange) serialize(response *fasthttp.Response) *bytebufferpool.ByteBuffer {
+	e.observe(response)
+	if e.close || e.server.draining.Load() {
+		e.close = true
+		response.SetConnectionClose()
+	}
+	buffer := bytebufferpool.Get()
+	_, _ = response.WriteTo(buffer)
+	return buffer
+}
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -15,10 +14,7 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
-
-	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
 // Limits bound what a caller can make the daemon hold.
@@ -46,129 +42,6 @@
 	Serve(request *fasthttp.Request, exchange *Exchange)
 }
 
-// Enrolled is the context of a connection that others have added to the server's
-// event loops. Its methods are called on the connection's loop.
-type Enrolled interface {
-	Opened(conn gnet.Conn) gnet.Action
-	Traffic(conn gnet.Conn) gnet.Action
-	Closed(err error)
-}
-
-// Exchange is one request and its answer.
-type Exchange struct {
-	server  *Server
-	conn    gnet.Conn
-	loop    gnet.EventLoop
-	state   *connState
-	replied atomic.Bool
-	close   bool
-
-	observer Observer
-	started  time.Time
-
-	mu     sync.Mutex
-	gone   bool
-	onGone func()
-}
-
-// OnCallerGone calls f once if the caller closes the connection before the
-// answer.
-func (e *Exchange) OnCallerGone(f func()) {
-	e.mu.Lock()
-	gone := e.gone
-	e.onGone = f
-	e.mu.Unlock()
-	if gone {
-		f()
-	}
-}
-
-// CallerIP returns the IP of the caller.
-func (e *Exchange) CallerIP() string { return e.state.callerIP }
-
-func (e *Exchange) callerGone() {
-	e.mu.Lock()
-	f := e.onGone
-	e.gone = true
-	e.mu.Unlock()
-	if f != nil && !e.replied.Load() {
-		f()
-	}
-}
-
-// Loop returns the event loop of the caller's connection.
-func (e *Exchange) Loop() gnet.EventLoop { return e.loop }
-
-// Reply sends the answer. It may be called once, from any goroutine.
-func (e *Exchange) Reply(response *fasthttp.Response) {
-	if e.replied.Swap(true) {
-		return
-	}
-	buffer := e.serialize(response)
-	err := e.conn.AsyncWrite(buffer.B, func(conn gnet.Conn, err error) error {
-		bytebufferpool.Put(buffer)
-		return e.server.written(conn, e, err)
-	})
-	if err != nil {
-		e.server.inFlight.Add(-1)
-	}
-}
-
-// ReplyOnLoop is Reply for code that runs on Loop. It saves a wake-up of the
-// event loop.
-func (e *Exchange) ReplyOnLoop(response *fasthttp.Response) {
-	if e.replied.Swap(true) {
-		return
-	}
-	buffer := e.serialize(response)
-	err := net.ErrClosed
-	if e.state.open {
-		_, err = e.conn.Write(buffer.B)
-	}
-	bytebufferpool.Put(buffer)
-	_ = e.server.written(e.conn, e, err)
-}
-
-func (e *Exchange) serialize(response *fasthttp.Response) *bytebufferpool.ByteBuffer {
-	e.observe(response)
-	if e.close || e.server.draining.Load() {
-		e.close = true
-		response.SetConnectionClose()
-	}
-	buffer := bytebufferpool.Get()
-	_, _ = response.WriteTo(buffer)
-	return buffer
-}
-
-// connState is touched only on the connection's event loop, but for the times.
-type connState struct {
-	open bool
-	// callerIP is set when the connection opens.
-	callerIP string
-	exchange *Exchange
-	// buffered is what the connection adds to Server.buffered.
-	buffered int64
-	// waitingSince is when the current wait for the caller began, in Unix
-	// nanoseconds; 0 while a request is served.
-	waitingSince atomic.Int64
-	// phase is one of the phase constants.
-	phase atomic.Int32
-}
-
-// Phases of a connection.
-const (
-	// phaseIdle waits for a request.
-	phaseIdle int32 = iota
-	// phasePartial has received a request in part.
-	phasePartial
-	// phaseServing waits for the handler's answer.
-	phaseServing
-	// phaseFlushing sends the rest of an answer.
-	phaseFlushing
-	// phaseClosing waits for the caller to close.
-	phaseClosing
-)
-
 // Server accepts callers.
 type Server struct {
 	gnet.BuiltinEventEngine
@@ -365,33 +238,3 @@
 	}
 	return now.Sub(time.Unix(0, since)) > limit
 }
-
-// ErrorResponse returns an answer that the entry daemon makes itself.
-func ErrorResponse(status int, reply wire.ErrorReply) *fasthttp.Response {
-	response := &fasthttp.Response{}
-	response.SetStatusCode(status)
-	response.Header.Set(wire.HeaderOutcome, reply.Outcome)
-	response.Header.Set(wire.HeaderReason, reply.Reason)
-	SetJSON(response, reply)
-	return response
-}
-
-// SetJSON sets the body of a response.
-func SetJSON(response *fasthttp.Response, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		response.SetStatusCode(fasthttp.StatusInternalServerError)
-		return
-	}
-	response.Header.SetContentType("application/json")
-	response.SetBody(body)
-}
-
-// quietLogger passes gnet's own messages on at a lower level.
-type quietLogger struct{ log logrus.FieldLogger }
-
-func (l quietLogger) Debugf(format string, args ...any) { l.log.Debugf(format, args...) }
-func (l quietLogger) Infof(format string, args ...any)  { l.log.Debugf(format, args...) }
-func (l quietLogger) Warnf(format string, args ...any)  { l.log.Debugf(format, args...) }
-func (l quietLogger) Errorf(format string, args ...any) { l.log.Warnf(format, args...) }
-func (l quietLogger) Fatalf(format string, args ...any) { l.log.Errorf(format, args...) }
