Try the deletion of an old body again after the platform refused it

Cause: TestOldBodiesAreDeletedAndHistoryIsBounded found 11 objects in place of 10 in 2 of 32 runs: a deletion refused for the platform's write rate was passed over until the next acceptance. Ruled out: a body deleted too early (the head's bodies load in each run). Change: the same body is tried again while patience with the platform lasts. After: 80 of 80 runs pass, four at a time. Conclusion: mended.

--- a/internal/rollout/accept.go
+++ b/internal/rollout/accept.go
@@ -355,10 +355,22 @@
 		if ref.Version == 0 {
 			continue
 		}
+		if !a.deleteBody(ref) {
+			return
+		}
+	}
+}
+
+// deleteBody returns false once patience with the platform is over.
+func (a *acceptor) deleteBody(ref ServiceRef) bool {
+	for {
 		err := a.store.Delete(BodyKey(ref), ref.Version)
 		var unavailable *platform.UnavailableError
-		if errors.As(err, &unavailable) && !a.retry(err) {
-			return
+		if !errors.As(err, &unavailable) {
+			return true
+		}
+		if !a.retry(err) {
+			return false
 		}
 	}
 }
