--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"errors"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +15,6 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/config"
-	"github.com/poplarwheel/poplarwheel/internal/entryset"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
@@ -24,7 +22,6 @@
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
 	"github.com/poplarwheel/poplarwheel/internal/settings"
-	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
 const (
@@ -73,15 +70,7 @@
 	d.targetsLeaving.Store(&map[string]bool{})
 	d.once = d.newOnce()
 	d.proxy = proxy.New(d.incarnation, d.once.guard, d.log)
-	limits := callerserver.Limits{
-		HeaderBytes:   s.MaxHeaderBytes,
-		BodyBytes:     s.MaxBodyBytes,
-		SendTimeout:   sendTimeout,
-		IdleTimeout:   idleTimeout,
-		Connections:   s.MaxCallerConnections,
-		BufferedBytes: s.MaxBufferedBytes,
-	}
-	d.callers = callerserver.New(d, limits, d.log)
+	d.callers = callerserver.New(d, callerLimits(s), d.log)
 	d.peers = peer.NewServer([]byte(s.PeerKey), d.log)
 	if s.PeerKeyAlso != "" {
 		d.peers.AcceptKey([]byte(s.PeerKeyAlso))
@@ -96,6 +85,17 @@
 	return d
 }
 
+func callerLimits(s *settings.Settings) callerserver.Limits {
+	return callerserver.Limits{
+		HeaderBytes:   s.MaxHeaderBytes,
+		BodyBytes:     s.MaxBodyBytes,
+		SendTimeout:   sendTimeout,
+		IdleTimeout:   idleTimeout,
+		Connections:   s.MaxCallerConnections,
+		BufferedBytes: s.MaxBufferedBytes,
+	}
+}
+
 // follow sets up the parts that follow configuration and membership.
 func (d *Daemon) follow() {
 	self := membership.Record{
@@ -115,6 +115,8 @@
 	registerConfiguration(d.peers, d.follower)
 }
 
+// apply brings a configuration into force. The first one waits for what peers know
+// of leaving targets.
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	var leaving []string
 	if d.snapshot.Load().Revision == 0 {
@@ -186,26 +188,6 @@
 	}
 }
 
-// sweepInterval is the pause between two looks for overdue attempts.
-const sweepInterval = 250 * time.Millisecond
-
-// sweep keeps the proxy's timeouts and its count of entry VMs up to date.
-func (d *Daemon) sweep() {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-d.stop:
-			return
-		case now := <-ticker.C:
-			d.proxy.Sweep(now)
-			entryVMs := len(d.members.list())
-			d.proxy.SetEntryVMs(entryVMs)
-			d.once.rates.SetDaemons(entryVMs)
-		}
-	}
-}
-
 // sleep waits for pause, or until the daemon stops.
 func (d *Daemon) sleep(pause time.Duration) {
 	timer := time.NewTimer(pause)
@@ -215,48 +197,3 @@
 	case <-d.stop:
 	}
 }
-
-// Serve implements callerserver.Handler.
-func (d *Daemon) Serve(request *fasthttp.Request, exchange *callerserver.Exchange) {
-	if string(request.URI().Path()) == wire.PathEntries {
-		exchange.Reply(d.entries(string(request.URI().QueryArgs().Peek("service"))))
-		return
-	}
-	exchange.Observe(d.seriesOf(request))
-	d.proxy.Serve(request, exchange)
-}
-
-func (d *Daemon) entries(name string) *fasthttp.Response {
-	snapshot := d.snapshot.Load()
-	service := snapshot.Services[name]
-	if service == nil {
-		return callerserver.ErrorResponse(fasthttp.StatusNotFound, wire.ErrorReply{
-			Outcome: wire.OutcomeNotRun,
-			Reason:  "unknown_service",
-			Detail:  "no configured service has this name",
-		})
-	}
-	token := d.once.guard.Token(time.Now(), recorded(service))
-	response := &fasthttp.Response{}
-	callerserver.SetJSON(response, wire.EntriesReply{
-		Service:      name,
-		Entries:      d.entryAddresses(service),
-		KeepSeconds:  d.settings.KeepSeconds,
-		SessionToken: token.String(),
-		Revision:     snapshot.Revision,
-	})
-	return response
-}
-
-func (d *Daemon) entryAddresses(service *config.Service) []string {
-	members := entryset.InRegion(d.members.list(), d.settings.Region)
-	chosen := entryset.Choose(service.Name, members, entryset.Size(service.EntrySetSize, service.CallsPerSecond))
-	if len(chosen) == 0 {
-		return []string{d.settings.CallerAddress()}
-	}
-	addresses := make([]string, len(chosen))
-	for i, member := range chosen {
-		addresses[i] = net.JoinHostPort(member.IP, strconv.Itoa(d.settings.CallerPort))
-	}
-	return addresses
-}
