--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -22,6 +22,7 @@
 	duration time.Duration
 	loops    int
 	workers  int
+	distance time.Duration
 }
 
 func main() {
@@ -31,6 +32,7 @@
 	flag.DurationVar(&o.duration, "duration", 5*time.Second, "length of the run")
 	flag.IntVar(&o.loops, "event-loops", 2, "event loops of the entry daemon")
 	flag.IntVar(&o.workers, "connections", 50, "connections on each of the two ways")
+	flag.DurationVar(&o.distance, "distance", 500*time.Microsecond, "one way to the entry daemon of a second availability zone; 0 leaves it out")
 	flag.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, "latency:", err)
@@ -62,7 +64,36 @@
 	if err := printMemory(f); err != nil {
 		return err
 	}
-	return compare(f, o)
+	if err := compare(f, o); err != nil {
+		return err
+	}
+	if o.distance == 0 {
+		return nil
+	}
+	return compareZones(f, o)
+}
+
+// compareZones measures a call through an entry daemon of a second availability
+// zone against one straight to a target of that zone.
+func compareZones(f *fleet.Fleet, o options) error {
+	target, closeTarget, err := relay(f.TargetAddress(0), o.distance)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = closeTarget.Close() }()
+	entry, closeEntry, err := relay(f.EntryAddress(0), o.distance)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = closeEntry.Close() }()
+	direct, relayed := measure(o, target, entry)
+	for _, quantile := range []float64{50, 99} {
+		straight := direct.histogram.ValueAtQuantile(quantile)
+		through := relayed.histogram.ValueAtQuantile(quantile)
+		fmt.Printf("second_zone_direct_p%v_ms %.3f ms\n", quantile, float64(straight)/1000)
+		fmt.Printf("second_zone_added_p%v_ms %.3f ms\n", quantile, float64(through-straight)/1000)
+	}
+	return nil
 }
 
 // compare measures both ways and prints what they cost.
@@ -73,7 +104,7 @@
 		return err
 	}
 	before := process.Of(pid).CPU
-	direct, relayed := measure(f, o)
+	direct, relayed := measure(o, f.TargetAddress(0), f.EntryAddress(0))
 	spent := process.Of(pid).CPU - before
 	allocatedAfter, err := allocations(f)
 	if err != nil {
@@ -106,9 +137,9 @@
 }
 
 // measure sends calls on both ways, each connection at its own random times.
-func measure(f *fleet.Fleet, o options) (direct, relayed *way) {
-	direct = newWay(f.TargetAddress(0))
-	relayed = newWay(f.EntryAddress(0))
+func measure(o options, target, entry string) (direct, relayed *way) {
+	direct = newWay(target)
+	relayed = newWay(entry)
 	mean := time.Duration(o.workers) * time.Second / time.Duration(o.rate)
 	end := time.Now().Add(o.duration)
 	var pending sync.WaitGroup
