Keep faults of one VM apart in the randomised run

Cause: a process outlived runs: a graceful restart that took longer than planned met another fault of the same VM, and two daemons ran under one name. Ruled out: a process that ignores its signal (it was never sent one). Change: faults of a VM wait for each other; Close ends every process ever started.

--- a/test/fleet/processes.go
+++ b/test/fleet/processes.go
@@ -17,6 +17,8 @@
 
 	mu      sync.Mutex
 	running map[string]*process
+	// started are all processes, those included whose name was given again.
+	started []*process
 }
 
 type process struct {
@@ -59,6 +61,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running[name] = started
+	p.started = append(p.started, started)
 	return nil
 }
 
@@ -125,7 +128,7 @@
 func (p *processes) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, started := range p.running {
+	for _, started := range p.started {
 		started.killed.Store(true)
 		_ = started.command.Process.Kill()
 		<-started.exited
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -23,8 +23,10 @@
 	fleet   *fleet.Fleet
 	history *history
 	report  func(format string, args ...any)
-	// draining counts entry VMs that shut down gracefully.
-	faults sync.WaitGroup
+	faults  sync.WaitGroup
+	// subjects holds a *sync.Mutex for each VM: its faults come one after another,
+	// also when one takes longer than planned.
+	subjects sync.Map
 }
 
 // run starts each fault at its time and returns when all are over.
@@ -42,6 +44,9 @@
 }
 
 func (i *injector) cause(f fault) error {
+	lock, _ := i.subjects.LoadOrStore(f.subject(), &sync.Mutex{})
+	lock.(*sync.Mutex).Lock()
+	defer lock.(*sync.Mutex).Unlock()
 	switch f.Kind {
 	case killEntry:
 		return i.killEntry(f)
