Accept on the latest revision in one place; drop what nothing calls

Cause: the demo and the test fleet each read the head and built an acceptance on it; the randomised run's history had one method six times over; nothing called Daemon.PeerByIncarnation, since tokens name the VM. Change: rollout.AcceptOnLatest, a generic add, and a deletion. No behaviour changes.

--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -222,17 +222,6 @@
 	return m.detector.Members()
 }
 
-// PeerByIncarnation returns the peer address ("ip:port") and the state of the
-// entry VM whose daemon has the given incarnation.
-func (d *Daemon) PeerByIncarnation(incarnation string) (address string, state membership.State, ok bool) {
-	for _, member := range d.members.list() {
-		if member.Incarnation == incarnation {
-			return d.members.address(member.IP), member.State, true
-		}
-	}
-	return "", "", false
-}
-
 // addressOf returns the peer address ("ip:port") of a member that isn't dead.
 func (m *members) addressOf(name string) (string, bool) {
 	for _, member := range m.list() {
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
@@ -200,18 +198,7 @@
 	if err != nil {
 		return 0, err
 	}
-	store := platform.NewClient(d.platformAddress, platformTimeout)
-	head, _, err := rollout.ReadHead(store)
-	if err != nil {
-		return 0, err
-	}
-	return rollout.Accept(store, rollout.Acceptance{
-		Base:     head.Revision,
-		Services: proposal.Services,
-		By:       "demo",
-		At:       time.Now().UTC(),
-		ID:       uuid.NewString(),
-	})
+	return rollout.AcceptOnLatest(platform.NewClient(d.platformAddress, platformTimeout), proposal.Services, "demo")
 }
 
 // inForce waits until every running daemon has applied the revision and sees the
--- a/test/fleet/accept.go
+++ b/test/fleet/accept.go
@@ -1,10 +1,6 @@
 package fleet
 
 import (
-	"time"
-
-	"github.com/google/uuid"
-
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
@@ -25,16 +21,5 @@
 	if err != nil {
 		return 0, err
 	}
-	store := platform.NewClient(f.Platform, callTimeout)
-	head, _, err := rollout.ReadHead(store)
-	if err != nil {
-		return 0, err
-	}
-	return rollout.Accept(store, rollout.Acceptance{
-		Base:     head.Revision,
-		Services: proposal.Services,
-		By:       by,
-		At:       time.Now().UTC(),
-		ID:       uuid.NewString(),
-	})
+	return rollout.AcceptOnLatest(platform.NewClient(f.Platform, callTimeout), proposal.Services, by)
 }
--- a/test/soak/history.go
+++ b/test/soak/history.go
@@ -81,38 +81,16 @@
 	logged []string
 }
 
-func (h *history) addBooking(b *booking) {
+// add appends an item to one of the history's lists.
+func add[T any](h *history, list *[]T, item T) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.bookings = append(h.bookings, b)
+	*list = append(*list, item)
 }
 
-func (h *history) addRead(a answer) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.reads = append(h.reads, a)
-}
-
-func (h *history) addLeave(l leave) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.leaves = append(h.leaves, l)
-}
-
-func (h *history) addSighting(s sighting) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.sightings = append(h.sightings, s)
-}
-
-func (h *history) addViolence(v violence) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.violence = append(h.violence, v)
-}
-
-func (h *history) addAcceptance(a acceptance) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.acceptances = append(h.acceptances, a)
-}
+func (h *history) addBooking(b *booking)      { add(h, &h.bookings, b) }
+func (h *history) addRead(a answer)           { add(h, &h.reads, a) }
+func (h *history) addLeave(l leave)           { add(h, &h.leaves, l) }
+func (h *history) addSighting(s sighting)     { add(h, &h.sightings, s) }
+func (h *history) addViolence(v violence)     { add(h, &h.violence, v) }
+func (h *history) addAcceptance(a acceptance) { add(h, &h.acceptances, a) }
