Count each death of a target that is started again at once

Cause: two ends at a target within a second were taken for one death. Ruled out: the sabotage itself, which changes bookings only. Change: two ends are of one death if both requests were at the target together. Before: TestDeathsOfOneTargetAddUp fails. After: it and the model test pass (go test ./internal/quarantine -rapid.checks=5000, one run).

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -24,9 +24,9 @@
 	// Expiry is how long a death counts and a quarantine lasts.
 	Expiry = 10 * time.Minute
 
-	// sameDeath is the time within which the ends of requests at one target are
-	// taken as one death.
-	sameDeath = time.Second
+	// groupTime is the time within which the ends of requests at one target are
+	// explained together.
+	groupTime = time.Second
 	// turnLimit bounds the time for which a suspect keeps others waiting.
 	turnLimit = 2 * time.Second
 	// maxSuspects bounds the content that a ward keeps.
@@ -44,6 +44,13 @@
 	At    time.Time `json:"at"`
 }
 
+// same reports whether two requests ended by one death: both were at the target
+// together. A request that was sent after a death met a target that had been
+// started again.
+func (d Death) same(other Death) bool {
+	return d.Target == other.Target && !d.Began.After(other.At) && !other.Began.After(d.At)
+}
+
 // Suspect is content that was at a target when it died.
 type Suspect struct {
 	Content Content `json:"content,string"`
@@ -85,7 +92,7 @@
 
 func (s *Suspect) knows(death Death) bool {
 	for _, known := range s.Deaths {
-		if known.Target == death.Target && known.At.Sub(death.At).Abs() < sameDeath {
+		if known.same(death) {
 			return true
 		}
 	}
@@ -224,7 +231,7 @@
 
 func (w *Ward) groupOf(now time.Time, target string) *group {
 	for _, g := range w.groups {
-		if g.target == target && now.Sub(g.at) < sameDeath {
+		if g.target == target && now.Sub(g.at) < groupTime {
 			return g
 		}
 	}
