--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
+	"github.com/poplarwheel/poplarwheel/internal/netdial"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/proxy"
@@ -55,6 +56,13 @@
 	targetsLeaving atomic.Pointer[map[string]bool]
 }
 
+// SetDial replaces the way that connections to targets and other daemons are
+// opened. It must be called before Run.
+func (d *Daemon) SetDial(dial netdial.Func) {
+	d.proxy.SetDial(dial)
+	d.peerClient.SetDial(dial)
+}
+
 // New returns a daemon that isn't running.
 func New(s *settings.Settings, log logrus.FieldLogger) *Daemon {
 	id := uuid.New()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/poplarwheel/poplarwheel/internal/netdial"
 )
 
 const (
@@ -38,6 +40,7 @@
 // Client calls peers over one connection each. It is safe for concurrent use.
 type Client struct {
 	key     []byte
+	open    netdial.Func
 	traffic Traffic
 	mu      sync.Mutex
 	conns   map[string]*clientConn
@@ -50,7 +53,16 @@
 
 // NewClient returns a client without connections.
 func NewClient(sharedKey []byte) *Client {
-	return &Client{key: sharedKey, conns: map[string]*clientConn{}}
+	return &Client{key: sharedKey, open: openKeptAlive, conns: map[string]*clientConn{}}
+}
+
+// SetDial replaces the way that connections are opened. It must be called before
+// the first call.
+func (c *Client) SetDial(open netdial.Func) { c.open = open }
+
+func openKeptAlive(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAliveConfig: keepAlive}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Traffic returns what was sent and received since the start.
@@ -103,8 +115,9 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (*clientConn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive}
-	netConn, err := dialer.DialContext(ctx, "tcp", address)
+	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	netConn, err := c.open(dialing, address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,7 +5,9 @@
 package proxy
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +19,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
+	"github.com/poplarwheel/poplarwheel/internal/netdial"
 	"github.com/poplarwheel/poplarwheel/internal/probe"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
@@ -63,6 +66,17 @@
 // first. It must be called before Apply.
 func (p *Proxy) SetRegion(region string) { p.region = region }
 
+// SetDial replaces the way that connections for calls and health checks are opened.
+// It must be called before Apply.
+func (p *Proxy) SetDial(dial netdial.Func) {
+	p.client.SetDial(dial)
+	p.checks.Dial = func(address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+		defer cancel()
+		return dial(ctx, address)
+	}
+}
+
 // Apply brings a configuration into force. It must not be called concurrently.
 func (p *Proxy) Apply(snapshot *config.Snapshot) {
 	previous := *p.shards.Load()
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/netdial"
 )
 
 const (
@@ -32,12 +33,17 @@
 // Client keeps the connections to all targets. Start and Sweep touch only what
 // belongs to the given event loop.
 type Client struct {
-	loops sync.Map // gnet.EventLoop -> *loopPools
-	open  sync.Map // target address -> *atomic.Int64, the open connections
+	connect netdial.Func
+	loops   sync.Map // gnet.EventLoop -> *loopPools
+	open    sync.Map // target address -> *atomic.Int64, the open connections
 }
 
 // New returns a client without connections.
-func New() *Client { return &Client{} }
+func New() *Client { return &Client{connect: netdial.Direct} }
+
+// SetDial replaces the way that connections are opened, which must be those of the
+// net package. It must be called before Start.
+func (c *Client) SetDial(connect netdial.Func) { c.connect = connect }
 
 // loopPools holds the connections of one event loop. It is touched only on that
 // loop.
@@ -86,7 +92,7 @@
 		return
 	}
 	if p.reserve(attempt.Address.MaxConnections) {
-		go dial(loop, p, e)
+		go c.dial(loop, p, e)
 		return
 	}
 	go c.replace(loop, p, e)
@@ -97,7 +103,7 @@
 func (c *Client) replace(loop gnet.EventLoop, p *pool, e *exchange) {
 	limit := e.attempt.Address.MaxConnections
 	if c.evict(loop, p.address) && p.reserve(limit) {
-		dial(loop, p, e)
+		c.dial(loop, p, e)
 		return
 	}
 	err := &ConnectionLimitError{Address: p.address, Limit: limit}
@@ -161,8 +167,10 @@
 }
 
 // dial opens a connection for an exchange and hands it to the event loop.
-func dial(loop gnet.EventLoop, p *pool, e *exchange) {
-	netConn, err := net.DialTimeout("tcp", p.address, dialTimeout)
+func (c *Client) dial(loop gnet.EventLoop, p *pool, e *exchange) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	netConn, err := c.connect(ctx, p.address)
 	if err != nil {
 		p.open.Add(-1)
 		onLoop(loop, func() { e.finish(nil, &NotSentError{Cause: err}) })
