Exchange with a rejoined member what is told only once

Cause: deaths under a request and leaving targets are told once, to members that aren't dead, with 150 ms or 1 s for a single try. A daemon that was cut off or frozen for longer than the suspicion lasts never heard of them, nor one whose connection had to be opened again in that time. Change: a message is tried again for 5 s while its sender goes on after the same wait as before; with a member that is live again, both sides' suspects and leaving targets are exchanged. Before: TestRejoinedRegionLearnsWhatCrashesTargets fails after its 13 s.

--- /dev/null
+++ b/internal/daemon/broadcast.go
@@ -0,0 +1,107 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/backoff"
+	"github.com/poplarwheel/poplarwheel/internal/membership"
+)
+
+const (
+	// deliveryLimit bounds the time for which a message to a peer is tried again.
+	deliveryLimit = 5 * time.Second
+	// deliveryTimeout bounds one try.
+	deliveryTimeout = time.Second
+	// deliveryRetryBase and deliveryRetryMax bound the pauses between tries.
+	deliveryRetryBase = 50 * time.Millisecond
+	deliveryRetryMax  = 500 * time.Millisecond
+)
+
+// broadcast calls a method at every other entry VM that isn't dead. It returns
+// the names of those that haven't answered within wait, and goes on trying to reach
+// them for deliveryLimit.
+func (d *Daemon) broadcast(wait time.Duration, method string, params any) []string {
+	ctx, cancel := context.WithTimeout(context.Background(), max(wait, deliveryLimit))
+	waiting := &recipients{names: map[string]bool{}, done: make(chan struct{})}
+	var deliveries sync.WaitGroup
+	for _, member := range d.members.list() {
+		if member.Name == d.settings.Name || member.State == membership.Dead {
+			continue
+		}
+		waiting.names[member.Name] = true
+		deliveries.Go(func() {
+			if d.deliver(ctx, member, method, params) {
+				waiting.reached(member.Name)
+			}
+		})
+	}
+	go func() {
+		deliveries.Wait()
+		cancel()
+	}()
+	return waiting.await(wait)
+}
+
+// deliver calls a method at a member until it answers or ctx is done.
+func (d *Daemon) deliver(ctx context.Context, member membership.Member, method string, params any) bool {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	pause := backoff.Backoff{Base: deliveryRetryBase, Max: deliveryRetryMax}
+	for ctx.Err() == nil && !d.stopping() {
+		if d.callMember(ctx, member, method, params, nil) == nil {
+			return true
+		}
+		d.sleep(pause.Next(rng))
+	}
+	return false
+}
+
+// callMember calls a method at a member once. The error is a *peer.CallError.
+func (d *Daemon) callMember(ctx context.Context, member membership.Member, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, deliveryTimeout)
+	defer cancel()
+	return d.peerClient.Call(ctx, d.members.address(member.IP), method, params, result)
+}
+
+// recipients are the members that haven't answered a message.
+type recipients struct {
+	mu    sync.Mutex
+	names map[string]bool
+	// done is closed once all have answered.
+	done chan struct{}
+}
+
+func (r *recipients) reached(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.names, name)
+	if len(r.names) == 0 {
+		close(r.done)
+	}
+}
+
+// await waits for all to answer and returns the names of those that haven't.
+func (r *recipients) await(wait time.Duration) []string {
+	if r.left() == nil {
+		return nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-r.done:
+	case <-timer.C:
+	}
+	return r.left()
+}
+
+func (r *recipients) left() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for name := range r.names {
+		names = append(names, name)
+	}
+	return names
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -117,6 +117,7 @@
 		State:       membership.Joining,
 	}
 	d.members = newMembers(self, d.settings.PeerPort, d.peerClient, d.log)
+	d.members.rejoined = d.rejoined
 	d.members.detector.Seed(d.settings.Peers)
 	d.follower = rollout.NewFollower(d.store, &configurationPeers{client: d.peerClient, members: d.members}, d.log, d.apply)
 	d.members.follower = d.follower
--- a/internal/daemon/leavingtargets.go
+++ b/internal/daemon/leavingtargets.go
@@ -88,7 +88,7 @@
 		var news []string
 		told, news = newNames(told, d.proxy.LeavingTargets())
 		if len(news) > 0 {
-			d.callPeers(leavingLimit, peer.MethodLeavingTargets, peer.LeavingTargets{Names: news})
+			d.broadcast(leavingLimit, peer.MethodLeavingTargets, peer.LeavingTargets{Names: news})
 		}
 		d.sleep(leavingTick)
 	}
--- a/internal/daemon/members.go
+++ b/internal/daemon/members.go
@@ -32,6 +32,8 @@
 	client   *peer.Client
 	follower *rollout.Follower
 	sending  chan struct{}
+	// rejoined takes members that are live again. It is called with the lock held.
+	rejoined func(membership.Member)
 
 	mu       sync.Mutex
 	detector *membership.Detector
@@ -75,19 +77,25 @@
 func (m *members) event(take func(now time.Time) []membership.Action) {
 	m.mu.Lock()
 	actions := append([]membership.Action(nil), take(time.Now())...)
-	m.logChanges()
+	m.noteChanges()
 	m.mu.Unlock()
 	for _, action := range actions {
 		m.start(action)
 	}
 }
 
-// logChanges logs members whose state changed.
-func (m *members) logChanges() {
+// noteChanges logs members whose state changed and passes on those that are back.
+func (m *members) noteChanges() {
 	for _, member := range m.detector.Members() {
-		if previous := m.states[member.Name]; previous != member.State {
-			m.states[member.Name] = member.State
-			m.log.WithField("member", member.Name).WithField("state", member.State).WithField("previous", previous).Info("member changed")
+		previous := m.states[member.Name]
+		if previous == member.State {
+			continue
+		}
+		m.states[member.Name] = member.State
+		m.log.WithField("member", member.Name).WithField("state", member.State).WithField("previous", previous).Info("member changed")
+		lost := previous == membership.Dead || previous == membership.Suspected
+		if lost && member.State == membership.Live {
+			m.rejoined(member)
 		}
 	}
 }
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -80,7 +79,7 @@
 		return
 	}
 	go func() {
-		p.daemon.callPeers(tellLimit, peer.MethodSuspect, peer.Suspects{Suspects: []quarantine.Suspect{suspect}})
+		p.daemon.broadcast(tellLimit, peer.MethodSuspect, peer.Suspects{Suspects: []quarantine.Suspect{suspect}})
 		<-p.telling
 		done()
 	}()
@@ -94,35 +93,11 @@
 		return
 	}
 	go func() {
-		p.daemon.callPeers(liftLimit, peer.MethodLift, peer.Lift{Content: content})
+		p.daemon.broadcast(liftLimit, peer.MethodLift, peer.Lift{Content: content})
 		<-p.telling
 	}()
 }
 
-// callPeers calls a method at every other entry VM that isn't dead and returns
-// the names of those that didn't answer within limit.
-func (d *Daemon) callPeers(limit time.Duration, method string, params any) []string {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	var mu sync.Mutex
-	var unreached []string
-	var calls sync.WaitGroup
-	for _, member := range d.members.list() {
-		if member.Name == d.settings.Name || member.State == membership.Dead {
-			continue
-		}
-		calls.Go(func() {
-			if err := d.peerClient.Call(ctx, d.members.address(member.IP), method, params, nil); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				unreached = append(unreached, member.Name)
-			}
-		})
-	}
-	calls.Wait()
-	return unreached
-}
-
 func (d *Daemon) serveSuspect(_ context.Context, params json.RawMessage) (any, error) {
 	var message peer.Suspects
 	if err := json.Unmarshal(params, &message); err != nil {
@@ -179,7 +154,7 @@
 // LiftQuarantine forgets content on all entry daemons that answer.
 func (d *Daemon) LiftQuarantine(content quarantine.Content) LiftReply {
 	reply := LiftReply{Known: d.quarantine.Lift(content)}
-	reply.Unreached = d.callPeers(liftLimit, peer.MethodLift, peer.Lift{Content: content})
+	reply.Unreached = d.broadcast(liftLimit, peer.MethodLift, peer.Lift{Content: content})
 	d.log.WithField("content", uint64(content)).WithField("unreached", len(reply.Unreached)).Info("quarantine lifted")
 	return reply
 }
--- /dev/null
+++ b/test/regions/rejoin_test.go
@@ -0,0 +1,65 @@
+package regions
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/daemon"
+	"github.com/poplarwheel/poplarwheel/internal/membership"
+	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
+	"github.com/poplarwheel/poplarwheel/internal/wire"
+)
+
+// crash sends a request that crashes its target.
+func crash(t *testing.T, entry string) {
+	t.Helper()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + entry + "/availability")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set(wire.HeaderService, "stock")
+	request.Header.Set(wire.HeaderType, "availability")
+	request.Header.Set(targetd.HeaderCrash, wire.True)
+	require.NoError(t, fasthttp.DoTimeout(request, response, 2*agreed))
+}
+
+func quarantined(d *daemon.Daemon) int {
+	count := 0
+	for _, suspect := range d.Dump().Quarantine {
+		if suspect.Quarantined {
+			count++
+		}
+	}
+	return count
+}
+
+// seesDead reports whether a daemon takes all members of a region for dead.
+func seesDead(d *daemon.Daemon, region string) bool {
+	for _, member := range d.Dump().Members {
+		if member.Region == region && member.State != membership.Dead {
+			return false
+		}
+	}
+	return true
+}
+
+// TestRejoinedRegionLearnsWhatCrashesTargets: daemons that were taken for dead when
+// a request crashed its targets know it once they are back.
+func TestRejoinedRegionLearnsWhatCrashesTargets(t *testing.T) {
+	s := start(t)
+	s.awaitRevision(s.accept("before"), regions...)
+	s.awaitLive(2*daemonsPerRegion, regions...)
+	s.network.setCut(true)
+	require.Eventually(t, func() bool { return seesDead(s.daemons[home][0], away) }, 30*time.Second, 50*time.Millisecond)
+	crash(t, s.entries[home][0])
+	require.Equal(t, 1, quarantined(s.daemons[home][0]))
+
+	s.network.setCut(false)
+	for _, d := range s.daemons[away] {
+		require.Eventually(t, func() bool { return quarantined(d) == 1 }, inForce, 20*time.Millisecond, d.Dump().Name)
+	}
+}
