Test that deaths are told during a storm of them

Guess: a target that cuts its answers makes so many deaths that the bound of 32 messages drops the crashing request's. Conclusion: ruled out; the test stays.

--- a/test/regions/regions_test.go
+++ b/test/regions/regions_test.go
@@ -31,7 +31,7 @@
 	away = "away"
 
 	daemonsPerRegion = 3
-	targetsPerRegion = 3
+	targetsPerRegion = 5
 	// cutLength is the length of the cut.
 	cutLength = 8 * time.Second
 	// inForce is the time within which an accepted configuration is in force.
@@ -52,6 +52,7 @@
 	daemons map[string][]*daemon.Daemon
 	entries map[string][]string
 	servers []questionnaire.Server
+	targets map[string][]*targetd.Target
 	journal journal
 	// running are the daemons until stop is called.
 	running sync.WaitGroup
@@ -72,15 +73,24 @@
 	return j.lines.Write(line)
 }
 
-// began returns how often each idempotency key began to run.
-func (j *journal) began(t *testing.T) map[string]int {
+// events returns what the targets ran so far.
+func (j *journal) events(t *testing.T) []targetd.Event {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	began := map[string]int{}
-	decoder := json.NewDecoder(&j.lines)
+	var events []targetd.Event
+	decoder := json.NewDecoder(bytes.NewReader(j.lines.Bytes()))
 	for decoder.More() {
 		var event targetd.Event
 		require.NoError(t, decoder.Decode(&event))
+		events = append(events, event)
+	}
+	return events
+}
+
+// began returns how often each idempotency key began to run.
+func (j *journal) began(t *testing.T) map[string]int {
+	began := map[string]int{}
+	for _, event := range j.events(t) {
 		if event.Kind == targetd.EventBegan && event.Key != "" {
 			began[event.Key]++
 		}
@@ -93,7 +103,7 @@
 	subnet, err := loopback.Reserve()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = subnet.Release() })
-	s := &system{t: t, subnet: subnet, daemons: map[string][]*daemon.Daemon{}, entries: map[string][]string{}}
+	s := &system{t: t, subnet: subnet, daemons: map[string][]*daemon.Daemon{}, entries: map[string][]string{}, targets: map[string][]*targetd.Target{}}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.network = startNetwork(t, subnet.Host(3)+":7000")
 	s.startPlatform()
@@ -142,6 +152,7 @@
 		go func() { _ = target.Serve(listener) }()
 		s.t.Cleanup(func() { _ = target.Close() })
 		s.network.place(ip, region)
+		s.targets[region] = append(s.targets[region], target)
 		s.servers = append(s.servers, questionnaire.Server{Name: name, IP: ip, Port: 8000, Zone: region + "-a", Region: region})
 	}
 }
--- a/test/regions/rejoin_test.go
+++ b/test/regions/rejoin_test.go
@@ -9,17 +9,32 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
+// crashPath is the path of requests that crash their target.
+const crashPath = "/crash"
+
+// crashes returns how many targets were sent such a request.
+func (j *journal) crashes(t *testing.T) int {
+	crashes := 0
+	for _, event := range j.events(t) {
+		if event.Kind == targetd.EventBegan && event.Path == crashPath {
+			crashes++
+		}
+	}
+	return crashes
+}
+
 // crash sends a request that crashes its target.
 func crash(t *testing.T, entry string) {
 	t.Helper()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + entry + "/availability")
+	request.SetRequestURI("http://" + entry + crashPath)
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.Header.Set(wire.HeaderService, "stock")
 	request.Header.Set(wire.HeaderType, "availability")
@@ -63,3 +78,26 @@
 		require.Eventually(t, func() bool { return quarantined(d) == 1 }, inForce, 20*time.Millisecond, d.Dump().Name)
 	}
 }
+
+// TestDeathsAreToldDuringAStorm: while a target cuts its answers, and daemons that
+// are cut off don't answer, each death under a crashing request is told to those
+// that do.
+func TestDeathsAreToldDuringAStorm(t *testing.T) {
+	s := start(t)
+	s.awaitRevision(s.accept("before"), regions...)
+	s.awaitLive(2*daemonsPerRegion, regions...)
+	s.targets[home][0].SetFaults(targetd.Faults{CutAnswers: true})
+	l := s.startLoad(home)
+	s.network.setCut(true)
+	time.Sleep(2 * time.Second)
+	crash(t, s.entries[home][0])
+	for _, d := range s.daemons[home] {
+		require.Eventually(t, func() bool { return quarantined(d) == 1 }, time.Second, 5*time.Millisecond, d.Dump().Name)
+	}
+	for _, entry := range s.entries[home] {
+		crash(t, entry)
+	}
+	l.end()
+	s.network.setCut(false)
+	require.LessOrEqual(t, s.journal.crashes(t), quarantine.Limit+1)
+}
