Keep quarantined contents on the platform

Cause: a restart of all daemons at once forgot the quarantine, and the request crashed two more targets. Ruled out: every death on the platform (a write for each, none in an outage); a copy at callers. Change: content is added to one bounded object when it is quarantined, removed when it is lifted, and read at start. Changes are conditional updates with the same effect once or twice. Before (trial without the read at start): TestQuarantineOutlastsARestartOfAllDaemons fails. After: it passes (two runs).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	snapshot    atomic.Pointer[config.Snapshot]
 	once        once
 	quarantine  *quarantine.Keeper
+	shelf       *shelfWriter
 	started     time.Time
 	stop        chan struct{}
 	members     *members
@@ -164,6 +165,8 @@
 	go d.once.recorder.Run(d.stop)
 	go d.quarantine.Run(d.stop)
 	go d.learnSuspects()
+	go d.learnShelved()
+	go d.shelf.run()
 	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -45,13 +45,15 @@
 type quarantinePeers struct {
 	daemon  *Daemon
 	telling chan struct{}
+	shelf   *shelfWriter
 }
 
 var _ quarantine.Peers = (*quarantinePeers)(nil)
 
 // startQuarantine sets up what watches for requests that crash targets.
 func (d *Daemon) startQuarantine() {
-	d.quarantine = quarantine.NewKeeper(&quarantinePeers{daemon: d, telling: make(chan struct{}, maxTells)})
+	d.shelf = newShelfWriter(d)
+	d.quarantine = quarantine.NewKeeper(&quarantinePeers{daemon: d, telling: make(chan struct{}, maxTells), shelf: d.shelf})
 	d.proxy.SetQuarantine(d.quarantine)
 	d.peers.Register(peer.MethodSuspect, d.serveSuspect)
 	d.peers.Register(peer.MethodLift, d.serveLift)
@@ -71,6 +73,9 @@
 func (p *quarantinePeers) Tell(suspect quarantine.Suspect, done func()) {
 	log := p.daemon.log.WithField("content", uint64(suspect.Content)).WithField("service", suspect.Service).WithField("type", suspect.Type)
 	log.WithField("deaths", len(suspect.Deaths)).WithField("quarantined", suspect.Quarantined).Warn("target died while it ran a request")
+	if suspect.Quarantined {
+		p.shelf.change(quarantine.Change{Add: &suspect})
+	}
 	select {
 	case p.telling <- struct{}{}:
 	default:
@@ -154,6 +159,7 @@
 // LiftQuarantine forgets content on all entry daemons that answer.
 func (d *Daemon) LiftQuarantine(content quarantine.Content) LiftReply {
 	reply := LiftReply{Known: d.quarantine.Lift(content)}
+	d.shelf.change(quarantine.Change{Remove: content})
 	reply.Unreached = d.broadcast(liftLimit, peer.MethodLift, peer.Lift{Content: content})
 	d.log.WithField("content", uint64(content)).WithField("unreached", len(reply.Unreached)).Info("quarantine lifted")
 	return reply
--- /dev/null
+++ b/internal/quarantine/shelf.go
@@ -0,0 +1,142 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/platform"
+)
+
+const (
+	// ShelfKey is the platform key of the object that keeps quarantined contents over
+	// a restart of all daemons.
+	ShelfKey = "quarantine/contents"
+	// maxShelved bounds the contents that are kept.
+	maxShelved = 256
+	// shelfTries bounds the conditional updates of one change.
+	shelfTries = 8
+)
+
+// Change is one change of the kept contents: exactly one field is set.
+type Change struct {
+	// Add is content that was quarantined.
+	Add *Suspect
+	// Remove is content whose quarantine was lifted.
+	Remove Content
+}
+
+// ShelfError reports kept contents that can't be read.
+type ShelfError struct{ Cause error }
+
+// Error implements error.
+func (e *ShelfError) Error() string { return fmt.Sprintf("quarantine: %s: %v", ShelfKey, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *ShelfError) Unwrap() error { return e.Cause }
+
+// shelf is the value of the object.
+type shelf struct {
+	Suspects []Suspect `json:"suspects"`
+}
+
+// ReadShelf returns the kept contents that haven't expired. Errors are *ShelfError
+// and those of platform.Store; an object that doesn't exist is none.
+func ReadShelf(store platform.Store, now time.Time) ([]Suspect, error) {
+	kept, _, err := readShelf(store, now)
+	return kept.Suspects, err
+}
+
+func readShelf(store platform.Store, now time.Time) (shelf, platform.Version, error) {
+	object, err := store.Get(ShelfKey)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return shelf{}, 0, nil
+	}
+	if err != nil {
+		return shelf{}, 0, err
+	}
+	var kept shelf
+	if err := json.Unmarshal(object.Value, &kept); err != nil {
+		return shelf{}, object.Version, &ShelfError{Cause: err}
+	}
+	kept.expire(now)
+	return kept, object.Version, nil
+}
+
+// ChangeShelf applies changes by a conditional update. Each change has the same
+// effect once or twice, so one whose answer was lost is simply applied again. An
+// object that can't be read is replaced. The error is one of platform.Store.
+func ChangeShelf(store platform.Store, now time.Time, changes []Change) error {
+	var last error
+	for range shelfTries {
+		done, err := changeShelf(store, now, changes)
+		if done {
+			return err
+		}
+		last = err
+	}
+	return last
+}
+
+// changeShelf tries once. It returns false if another try may succeed.
+func changeShelf(store platform.Store, now time.Time, changes []Change) (done bool, err error) {
+	kept, version, err := readShelf(store, now)
+	var unreadable *ShelfError
+	if err != nil && !errors.As(err, &unreadable) {
+		return true, err
+	}
+	changed := unreadable != nil
+	for _, change := range changes {
+		changed = kept.apply(change) || changed
+	}
+	if !changed {
+		return true, nil
+	}
+	kept.bound()
+	value, err := json.Marshal(kept)
+	if err != nil {
+		return true, err
+	}
+	if version == 0 {
+		_, err = store.Create(ShelfKey, value)
+	} else {
+		_, err = store.Update(ShelfKey, version, value)
+	}
+	var conflict *platform.ConflictError
+	return !errors.As(err, &conflict), err
+}
+
+// apply changes the contents and reports whether that made a difference.
+func (s *shelf) apply(change Change) bool {
+	if change.Add == nil {
+		before := len(s.Suspects)
+		s.Suspects = slices.DeleteFunc(s.Suspects, func(kept Suspect) bool { return kept.Content == change.Remove })
+		return len(s.Suspects) < before
+	}
+	for i := range s.Suspects {
+		if kept := &s.Suspects[i]; kept.Content == change.Add.Content {
+			before := len(kept.Deaths)
+			for _, death := range change.Add.Deaths {
+				kept.add(death)
+			}
+			return len(kept.Deaths) > before
+		}
+	}
+	s.Suspects = append(s.Suspects, *change.Add)
+	return true
+}
+
+// expire drops what no longer counts.
+func (s *shelf) expire(now time.Time) {
+	s.Suspects = slices.DeleteFunc(s.Suspects, func(kept Suspect) bool { return now.Sub(kept.newest()) >= Expiry })
+}
+
+// bound drops the contents with the oldest deaths.
+func (s *shelf) bound() {
+	sort.Slice(s.Suspects, func(i, j int) bool { return s.Suspects[i].newest().After(s.Suspects[j].newest()) })
+	s.Suspects = s.Suspects[:min(len(s.Suspects), maxShelved)]
+}
--- a/test/e2e/quarantine_test.go
+++ b/test/e2e/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
+	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
@@ -129,6 +130,33 @@
 	require.Equal(t, quarantine.Limit, c.dead())
 }
 
+// A quarantine is kept on the platform: it outlasts a restart of all daemons.
+func TestQuarantineOutlastsARestartOfAllDaemons(t *testing.T) {
+	const entries = 2
+	c := startChecks(t, entries, 5)
+	c.check(0, "killer", true, 0)
+	store := platform.NewClient(c.Platform, time.Second)
+	require.NoError(t, system.Await("the platform to keep the quarantine", func() bool {
+		kept, err := quarantine.ReadShelf(store, time.Now())
+		return err == nil && len(kept) == 1
+	}))
+	for i := range entries {
+		require.NoError(t, c.Kill(system.EntryName(i)))
+	}
+	for i := range entries {
+		require.NoError(t, c.StartEntry(i))
+	}
+	for i := range entries {
+		require.NoError(t, system.Await("the restarted daemon to know the quarantine", func() bool {
+			dump, err := c.Dump(i)
+			return err == nil && dump.Revision > 0 && len(dump.Quarantine) == 1
+		}))
+		_, reason := c.check(i, "killer", true, 1)
+		require.Equal(t, "quarantined", reason)
+	}
+	require.Equal(t, quarantine.Limit, c.dead())
+}
+
 // Requests that shared the dying targets are answered; one that was beside both
 // deaths may need a resend, for its attempts are used up.
 func TestRequestsBesideACrashingOneAreAnswered(t *testing.T) {
