Benchmark a call from the caller's socket to the target and back

Ruled out: targets and callers of fasthttp in the benchmark, which would count their own allocations in. Change: BenchmarkCall and BenchmarkParallelCalls in internal/proxy.

--- /dev/null
+++ b/internal/proxy/benchmark_test.go
@@ -0,0 +1,161 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/wire"
+)
+
+// bodyBytes is the length of a request's and an answer's body in the benchmark.
+const bodyBytes = 256
+
+// benchRequest returns a request as a caller sends it.
+func benchRequest(entry string) []byte {
+	request := &fasthttp.Request{}
+	request.SetRequestURI("http://" + entry + "/availability")
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.Header.Set(wire.HeaderService, "stock")
+	request.Header.Set(wire.HeaderType, "read")
+	request.SetBody(bytes.Repeat([]byte("q"), bodyBytes))
+	return []byte(request.String())
+}
+
+// startEchoTarget serves answers that carry the attempt's ID, without an
+// allocation a request, so that the benchmark counts those of the entry daemon.
+func startEchoTarget(tb testing.TB) string {
+	tb.Helper()
+	listener := listen(tb)
+	tb.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go echoAttempts(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// echoAttempts answers the requests of one connection.
+func echoAttempts(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	attemptID := []byte(wire.HeaderAttemptID + ": ")
+	length := strconv.Itoa(bodyBytes)
+	body := bytes.Repeat([]byte("a"), bodyBytes)
+	var answer []byte
+	for {
+		answer = append(answer[:0], "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "...)
+		answer = append(answer, length...)
+		answer = append(answer, "\r\n"+wire.HeaderInFlight+": 1\r\n"...)
+		for {
+			line, err := reader.ReadSlice('\n')
+			if err != nil {
+				return
+			}
+			if len(line) == len("\r\n") {
+				break
+			}
+			if bytes.HasPrefix(line, attemptID) {
+				answer = append(answer, line...)
+			}
+		}
+		if _, err := reader.Discard(bodyBytes); err != nil {
+			return
+		}
+		answer = append(answer, "\r\n"...)
+		answer = append(answer, body...)
+		if _, err := conn.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// benchCaller makes calls over one connection without an allocation a call.
+type benchCaller struct {
+	conn    net.Conn
+	reader  *bufio.Reader
+	request []byte
+}
+
+func dialBenchCaller(entry string) (*benchCaller, error) {
+	conn, err := net.Dial("tcp", entry)
+	if err != nil {
+		return nil, err
+	}
+	return &benchCaller{conn: conn, reader: bufio.NewReader(conn), request: benchRequest(entry)}, nil
+}
+
+// call sends the request and reads its answer.
+func (c *benchCaller) call() error {
+	if _, err := c.conn.Write(c.request); err != nil {
+		return err
+	}
+	status, err := c.reader.ReadSlice('\n')
+	if err != nil {
+		return err
+	}
+	if !bytes.HasPrefix(status, []byte("HTTP/1.1 200 ")) {
+		return fmt.Errorf("answer begins with %q", status)
+	}
+	for {
+		line, err := c.reader.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		if len(line) == len("\r\n") {
+			break
+		}
+	}
+	_, err = c.reader.Discard(bodyBytes)
+	return err
+}
+
+// BenchmarkCall measures a call from the caller's socket to the target and back:
+// the caller server, the proxy, the scheduler and the target client. Callers and
+// target run in the same process and add no allocations of their own.
+func BenchmarkCall(b *testing.B) {
+	_, entry := startEntry(b, serviceOf(startEchoTarget(b)))
+	caller, err := dialBenchCaller(entry)
+	require.NoError(b, err)
+	defer func() { _ = caller.conn.Close() }()
+	require.NoError(b, caller.call())
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := caller.call(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkParallelCalls measures calls of many callers at once.
+func BenchmarkParallelCalls(b *testing.B) {
+	service := serviceOf(startEchoTarget(b))
+	service.Groups[0].MaxConnections = 0
+	_, entry := startEntry(b, service)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		caller, err := dialBenchCaller(entry)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer func() { _ = caller.conn.Close() }()
+		for pb.Next() {
+			if err := caller.call(); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
--- a/internal/proxy/chain_test.go
+++ b/internal/proxy/chain_test.go
@@ -27,7 +27,7 @@
 // nextAddress numbers the loopback addresses of this process.
 var nextAddress atomic.Uint32
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	n := nextAddress.Add(1)
 	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 200+n/250, 1+n%250)
@@ -54,7 +54,7 @@
 
 // startEntry serves a service with the given targets and returns the proxy and
 // its caller address.
-func startEntry(t *testing.T, service *config.Service) (*Proxy, string) {
+func startEntry(t testing.TB, service *config.Service) (*Proxy, string) {
 	t.Helper()
 	name := "entry-" + strconv.FormatUint(uint64(nextAddress.Add(1)), 10)
 	p := New(name, idempotency.NewGuard(time.Now(), idempotency.Owner{Incarnation: name, VM: name}, nil), quietLog())
