Allocate the details of an invariant at its breach only

Cause: the arguments of invariant.Check are boxed at every check, so a call allocated six strings and numbers that nobody reads. Ruled out: making Check inlinable, since the compiler builds the arguments before the branch anyway. Change: invariant.Breached, and a plain condition before it on the way of a call. What is checked stays the same; probe.Share is compared the other way round, which differs for NaN only.

--- a/internal/dispatch/allowance.go
+++ b/internal/dispatch/allowance.go
@@ -23,14 +23,18 @@
 	a.spare -= cost
 	handed = a.spare / 2
 	a.spare -= handed
-	invariant.Check(a.spare >= 0, invariant.RetryBudget, "attempt allowance overdrawn by %d", -a.spare)
+	if a.spare < 0 {
+		invariant.Breached(invariant.RetryBudget, "attempt allowance overdrawn by %d", -a.spare)
+	}
 	return handed
 }
 
 // giveBack returns what an attempt has not spent.
 func (a *allowance) giveBack(unspent int) {
 	a.spare += unspent
-	invariant.Check(a.spare <= a.total, invariant.RetryBudget, "attempt allowance of %d has grown to %d", a.total, a.spare)
+	if a.spare > a.total {
+		invariant.Breached(invariant.RetryBudget, "attempt allowance of %d has grown to %d", a.total, a.spare)
+	}
 }
 
 // spent returns what is spent or may be spent by attempts that have not ended.
--- a/internal/dispatch/scheduler.go
+++ b/internal/dispatch/scheduler.go
@@ -258,8 +258,12 @@
 }
 
 func (s *Scheduler) start(now time.Time, call *Call, m *member, hedge bool) {
-	invariant.Check(!m.Leaving, invariant.LeavingGetsNothing, "attempt at %s", m.Name)
-	invariant.Check(call.Type.Idempotent || !call.mayHaveRun(), invariant.DispatchedOnce, "call %d", call.ID)
+	if m.Leaving {
+		invariant.Breached(invariant.LeavingGetsNothing, "attempt at %s", m.Name)
+	}
+	if !call.Type.Idempotent && call.mayHaveRun() {
+		invariant.Breached(invariant.DispatchedOnce, "call %d", call.ID)
+	}
 	s.nextID++
 	attempt := &Attempt{ID: s.nextID, Call: call, Target: m.Target, Started: now, Hedge: hedge, member: m}
 	call.payFor(attempt)
@@ -286,7 +290,9 @@
 // finish answers the call and cancels its idempotent attempts. Others go on, so
 // that their outcome becomes known.
 func (s *Scheduler) finish(call *Call, kind ActionKind, answer any, reason Reason) {
-	invariant.Check(kind != Refuse || !call.mayHaveRun(), invariant.NotRunIsTrue, "call %d refused for %s", call.ID, reason)
+	if kind == Refuse && call.mayHaveRun() {
+		invariant.Breached(invariant.NotRunIsTrue, "call %d refused for %s", call.ID, reason)
+	}
 	call.state.done = true
 	s.timers.stop(call)
 	if call.state.waiting {
--- a/internal/dispatch/targets.go
+++ b/internal/dispatch/targets.go
@@ -79,7 +79,9 @@
 // release counts the end of an attempt.
 func (t *targetSet) release(m *member) {
 	m.InFlight--
-	invariant.Check(m.InFlight >= 0, invariant.InFlightBalanced, "%d at %s", m.InFlight, m.Name)
+	if m.InFlight < 0 {
+		invariant.Breached(invariant.InFlightBalanced, "%d at %s", m.InFlight, m.Name)
+	}
 	key := m.key()
 	if m.InFlight == 0 && t.retired[key] == m {
 		delete(t.retired, key)
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -61,11 +61,16 @@
 	registry.report = report
 }
 
-// Check records a breach of the invariant unless ok is true.
+// Check records a breach of the invariant unless ok is true. Its arguments are
+// allocated at every check; on the way of a call use Breached.
 func Check(ok bool, name Name, format string, args ...any) {
-	if ok {
-		return
+	if !ok {
+		Breached(name, format, args...)
 	}
+}
+
+// Breached records a breach of the invariant.
+func Breached(name Name, format string, args ...any) {
 	breach(&BreachError{Name: name, Detail: fmt.Sprintf(format, args...)})
 }
 
--- a/internal/probe/budget.go
+++ b/internal/probe/budget.go
@@ -26,6 +26,8 @@
 	maxLanes = 8
 	// meterWindow is the window in which the invariant counts probes.
 	meterWindow = time.Second
+	// roundingError is the relative error that a share of a budget may carry.
+	roundingError = 1e-9
 )
 
 // Share returns a daemon's share of a budget in probes per second. Limit is the
@@ -33,7 +35,9 @@
 // daemon sees.
 func Share(budget float64, limit, seen int) float64 {
 	share := budget / float64(max(limit, seen, 1))
-	invariant.Check(share*float64(limit) <= budget*(1+1e-9), invariant.MeasuringBudget, "share %g of budget %g for %d daemons", share, budget, limit)
+	if share*float64(limit) > budget*(1+roundingError) {
+		invariant.Breached(invariant.MeasuringBudget, "share %g of budget %g for %d daemons", share, budget, limit)
+	}
 	return share
 }
 
--- a/internal/targetclient/conn.go
+++ b/internal/targetclient/conn.go
@@ -122,7 +122,9 @@
 
 // release returns the connection to the pool.
 func (c *targetConn) release() {
-	invariant.Check(c.current == nil, invariant.AnswerMatchesAttempt, "connection to %s returned with an exchange", c.pool.address)
+	if c.current != nil {
+		invariant.Breached(invariant.AnswerMatchesAttempt, "connection to %s returned with an exchange", c.pool.address)
+	}
 	delete(c.pool.busy, c)
 	c.idleAt = time.Now()
 	c.pool.idle = append(c.pool.idle, c)
