Read headers through pooled readers

Cause: the codec reads from a bufio.Reader, so each request and each answer allocated two readers and a buffer. Ruled out: parsing headers without the codec; it has no call that takes bytes. Change: internal/headerreader lends readers of 4 KiB. Longer headers get a reader of their own.

--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -1,12 +1,12 @@
 package callerserver
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/headerreader"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
@@ -87,12 +87,12 @@
 // readHeader parses a header. All of it has to be one header: the codec also ends
 // a header at two bare line feeds, and what follows them would get lost.
 func readHeader(request *fasthttp.Request, header []byte) error {
-	source := bytes.NewReader(header)
-	reader := bufio.NewReaderSize(source, len(header))
-	if err := request.Header.Read(reader); err != nil {
+	reader := headerreader.Acquire(header, len(header))
+	defer reader.Release()
+	if err := request.Header.Read(reader.Buffered); err != nil {
 		return malformed(err)
 	}
-	if rest := reader.Buffered() + source.Len(); rest > 0 {
+	if rest := reader.Rest(); rest > 0 {
 		return malformed(&TrailingBytesError{Bytes: rest})
 	}
 	switch string(request.Header.Method()) {
--- a/internal/targetclient/answer.go
+++ b/internal/targetclient/answer.go
@@ -7,6 +7,8 @@
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/headerreader"
 )
 
 const (
@@ -14,8 +16,6 @@
 	MaxAnswerBytes = 8 << 20
 	// maxInterim bounds the interim responses before an answer.
 	maxInterim = 4
-	// minReadBuffer is the smallest buffer that the codec reads through.
-	minReadBuffer = 512
 )
 
 // Content lengths that fasthttp uses for bodies without a declared length.
@@ -61,9 +61,9 @@
 // parseAnswer fills in the response and returns the number of bytes that it
 // takes, which is above len(buffered) while some are missing.
 func parseAnswer(response *fasthttp.Response, buffered []byte, headerSize int, head bool) (int, error) {
-	source := bytes.NewReader(buffered)
-	reader := bufio.NewReaderSize(source, max(headerSize, minReadBuffer))
-	if err := response.Header.Read(reader); err != nil {
+	reader := headerreader.Acquire(buffered, headerSize)
+	defer reader.Release()
+	if err := response.Header.Read(reader.Buffered); err != nil {
 		return 0, err
 	}
 	if head || bodiless(response.StatusCode()) {
@@ -74,10 +74,10 @@
 	case lengthIdentity:
 		return 0, ErrNoLength
 	case lengthChunked:
-		if err := readChunked(response, reader); err != nil {
+		if err := readChunked(response, reader.Buffered); err != nil {
 			return incomplete(buffered, err)
 		}
-		return len(buffered) - source.Len() - reader.Buffered(), nil
+		return len(buffered) - reader.Rest(), nil
 	default:
 		return parseSized(response, buffered, headerSize, length)
 	}
