Carry an attempt in one object instead of closures

Cause: each call allocated an attempt's handle, its exchange and closures for its start, its end, the end's event and the caller's going. Ruled out: pooling the objects; hedges, cancellations and late answers refer to them after the call. Change: proxy.attempt holds the handle, the exchange and the request and is the targetclient.Handler. The caller's going is told to a CallerWatcher. Errors are classified only if there is one. The tests of both packages use the new interfaces and check the same.

--- a/internal/callerserver/exchange.go
+++ b/internal/callerserver/exchange.go
@@ -31,20 +31,26 @@
 	observer Observer
 	started  time.Time
 
-	mu     sync.Mutex
-	gone   bool
-	onGone func()
+	mu      sync.Mutex
+	gone    bool
+	watcher CallerWatcher
 }
 
-// OnCallerGone calls f once if the caller closes the connection before the
-// answer.
-func (e *Exchange) OnCallerGone(f func()) {
+// CallerWatcher is told when a caller has closed its connection.
+type CallerWatcher interface {
+	// CallerGone is called once if the caller closes the connection before the
+	// answer.
+	CallerGone()
+}
+
+// WatchCaller sets who is told when the caller is gone, also if it is already.
+func (e *Exchange) WatchCaller(watcher CallerWatcher) {
 	e.mu.Lock()
 	gone := e.gone
-	e.onGone = f
+	e.watcher = watcher
 	e.mu.Unlock()
 	if gone {
-		f()
+		watcher.CallerGone()
 	}
 }
 
@@ -53,11 +59,11 @@
 
 func (e *Exchange) callerGone() {
 	e.mu.Lock()
-	f := e.onGone
+	watcher := e.watcher
 	e.gone = true
 	e.mu.Unlock()
-	if f != nil && !e.replied.Load() {
-		f()
+	if watcher != nil && !e.replied.Load() {
+		watcher.CallerGone()
 	}
 }
 
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -33,15 +33,20 @@
 	response := &fasthttp.Response{}
 	response.SetBody(request.Body())
 	if string(request.URI().Path()) == "/never" {
-		exchange.OnCallerGone(func() {
+		exchange.WatchCaller(watcherFunc(func() {
 			h.gone.Add(1)
 			exchange.Reply(response)
-		})
+		}))
 		return
 	}
 	go exchange.Reply(response)
 }
 
+// watcherFunc is a function that is a CallerWatcher.
+type watcherFunc func()
+
+func (f watcherFunc) CallerGone() { f() }
+
 func startServer(t *testing.T, limits Limits) (*Server, *echoHandler, string) {
 	t.Helper()
 	handler := &echoHandler{}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"strconv"
 	"time"
 
+	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
@@ -12,6 +14,55 @@
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
+// attempt is the driver's part of one attempt.
+type attempt struct {
+	shard    *shard
+	call     *call
+	decision *dispatch.Attempt
+	exchange targetclient.Attempt
+	// request is what is sent to the target, from the start to the end.
+	request *fasthttp.Request
+}
+
+func (s *shard) newAttempt(decision *dispatch.Attempt) *attempt {
+	target := decision.Target
+	return &attempt{
+		shard:    s,
+		call:     decision.Call.Payload.(*call),
+		decision: decision,
+		exchange: targetclient.Attempt{
+			Address: targetclient.Address{HostPort: target.Address, MaxConnections: target.MaxConnections},
+		},
+	}
+}
+
+// start makes the attempt on the call's event loop. Current is the event loop
+// that the caller runs on, or nil.
+func (a *attempt) start(current gnet.EventLoop) {
+	loop := a.call.exchange.Loop()
+	if loop == current {
+		a.send(loop)
+		return
+	}
+	_ = loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		a.send(loop)
+		return nil
+	}))
+}
+
+func (a *attempt) send(loop gnet.EventLoop) {
+	a.request = a.call.attemptRequest(a.decision, time.Now())
+	a.shard.proxy.client.Start(loop, &a.exchange, a.call.attemptDeadline(), a.request, a)
+}
+
+// Ended implements targetclient.Handler.
+func (a *attempt) Ended(response *fasthttp.Response, err error) {
+	fasthttp.ReleaseRequest(a.request)
+	a.request = nil
+	result := a.shard.proxy.resultOf(response, err)
+	a.shard.finished(a.call.exchange.Loop(), a.decision, result, err)
+}
+
 // attemptDeadline is when the attempt's connection gives up.
 func (c *call) attemptDeadline() time.Time {
 	if c.decision.Type.Idempotent {
@@ -35,12 +86,8 @@
 
 // resultOf classifies the end of an attempt.
 func (p *Proxy) resultOf(response *fasthttp.Response, err error) dispatch.Result {
-	var notSent *targetclient.NotSentError
-	if errors.As(err, &notSent) {
-		return dispatch.Result{Kind: dispatch.NotRun, Unreachable: unreachable(notSent)}
-	}
 	if err != nil {
-		return dispatch.Result{Kind: dispatch.Lost}
+		return failureOf(err)
 	}
 	result := dispatch.Result{
 		Kind:        dispatch.Answered,
@@ -56,6 +103,15 @@
 	return result
 }
 
+// failureOf classifies the end of an attempt without an answer.
+func failureOf(err error) dispatch.Result {
+	var notSent *targetclient.NotSentError
+	if errors.As(err, &notSent) {
+		return dispatch.Result{Kind: dispatch.NotRun, Unreachable: unreachable(notSent)}
+	}
+	return dispatch.Result{Kind: dispatch.Lost}
+}
+
 // unreachable reports whether the target took no connection, in contrast to this
 // daemon's own reasons for not sending.
 func unreachable(err *targetclient.NotSentError) bool {
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"strconv"
 	"time"
 
@@ -141,32 +140,20 @@
 // start passes the call to the scheduler. Current is the event loop that the
 // caller runs on, or nil.
 func (c *call) start(current gnet.EventLoop) {
-	c.exchange.OnCallerGone(c.abandon)
+	c.exchange.WatchCaller(c)
 	c.shard.event(current, func(now time.Time) []dispatch.Action {
 		return c.shard.scheduler.Arrive(now, &c.decision)
 	})
 	c.shard.measure()
 }
 
-func (c *call) abandon() {
+// CallerGone implements callerserver.CallerWatcher.
+func (c *call) CallerGone() {
 	c.shard.event(c.exchange.Loop(), func(now time.Time) []dispatch.Action {
 		return c.shard.scheduler.Abandon(now, &c.decision)
 	})
 }
 
-// onLoop runs f on the call's event loop: at once if that is the current one.
-func (c *call) onLoop(current gnet.EventLoop, f func()) {
-	loop := c.exchange.Loop()
-	if loop == current {
-		f()
-		return
-	}
-	_ = loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		f()
-		return nil
-	}))
-}
-
 // settle carries out the end of the call.
 func (c *call) settle(current gnet.EventLoop, action dispatch.Action) {
 	c.endSuspicion(action)
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -69,10 +69,11 @@
 	}
 	request := c.forwardRequest(time.Now())
 	deadline := c.decision.Deadline.Add(forwardGrace)
-	c.shard.proxy.client.Start(c.exchange.Loop(), handle, deadline, request, func(response *fasthttp.Response, err error) {
+	ended := func(response *fasthttp.Response, err error) {
 		fasthttp.ReleaseRequest(request)
 		f.done(response, err)
-	})
+	}
+	c.shard.proxy.client.Start(c.exchange.Loop(), handle, deadline, request, targetclient.HandlerFunc(ended))
 }
 
 func (c *call) forwardRequest(now time.Time) *fasthttp.Request {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -130,7 +130,7 @@
 	s.mu.Lock()
 	actions := append(buffer[:0], send(time.Now())...)
 	s.resetTimer()
-	bindHandles(actions)
+	s.bindHandles(actions)
 	s.count(actions)
 	changes := s.scheduler.Changes()
 	s.mu.Unlock()
@@ -141,13 +141,10 @@
 }
 
 // bindHandles gives each new attempt its handle before other events see it.
-func bindHandles(actions []dispatch.Action) {
+func (s *shard) bindHandles(actions []dispatch.Action) {
 	for _, action := range actions {
 		if action.Kind == dispatch.Start {
-			target := action.Attempt.Target
-			action.Attempt.Handle = &targetclient.Attempt{
-				Address: targetclient.Address{HostPort: target.Address, MaxConnections: target.MaxConnections},
-			}
+			action.Attempt.Handle = s.newAttempt(action.Attempt)
 		}
 	}
 }
@@ -171,25 +168,12 @@
 }
 
 func (s *shard) perform(current gnet.EventLoop, action dispatch.Action) {
-	payload := action.Call.Payload.(*call)
 	switch action.Kind {
 	case dispatch.Start:
-		payload.onLoop(current, func() { s.run(payload, action.Attempt) })
+		action.Attempt.Handle.(*attempt).start(current)
 	case dispatch.Cancel:
-		action.Attempt.Handle.(*targetclient.Attempt).Cancel()
+		action.Attempt.Handle.(*attempt).exchange.Cancel()
 	default:
-		payload.settle(current, action)
+		action.Call.Payload.(*call).settle(current, action)
 	}
 }
-
-// run makes one attempt on the call's event loop and reports its end.
-func (s *shard) run(payload *call, attempt *dispatch.Attempt) {
-	loop := payload.exchange.Loop()
-	request := payload.attemptRequest(attempt, time.Now())
-	handle := attempt.Handle.(*targetclient.Attempt)
-	s.proxy.client.Start(loop, handle, payload.attemptDeadline(), request, func(response *fasthttp.Response, err error) {
-		fasthttp.ReleaseRequest(request)
-		result := s.proxy.resultOf(response, err)
-		s.finished(loop, attempt, result, err)
-	})
-}
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -47,15 +47,23 @@
 // finished reports the end of an attempt to the scheduler. If the target died,
 // other daemons are told first.
 func (s *shard) finished(loop gnet.EventLoop, attempt *dispatch.Attempt, result dispatch.Result, err error) {
-	conclude := func(current gnet.EventLoop) {
-		s.event(current, func(now time.Time) []dispatch.Action {
-			return s.scheduler.Finished(now, attempt, result)
-		})
-	}
-	if s.proxy.quarantine == nil || !targetDied(err) {
-		conclude(loop)
+	if s.proxy.quarantine == nil || err == nil || !targetDied(err) {
+		s.conclude(loop, attempt, result)
 		return
 	}
+	s.suspect(loop, attempt, result)
+}
+
+// conclude passes the end of an attempt to the scheduler.
+func (s *shard) conclude(current gnet.EventLoop, attempt *dispatch.Attempt, result dispatch.Result) {
+	s.event(current, func(now time.Time) []dispatch.Action {
+		return s.scheduler.Finished(now, attempt, result)
+	})
+}
+
+// suspect tells the keeper of an attempt that ended with its target's death, and
+// concludes it once the keeper allows or forbids another one.
+func (s *shard) suspect(loop gnet.EventLoop, attempt *dispatch.Attempt, result dispatch.Result) {
 	s.event(loop, func(now time.Time) []dispatch.Action {
 		return s.scheduler.StopHedging(now, attempt.Call)
 	})
@@ -68,7 +76,7 @@
 		Began:   attempt.Started,
 		Resume: func(allowed bool) {
 			result.NoRetry = !allowed
-			conclude(nil)
+			s.conclude(nil, attempt, result)
 		},
 	})
 }
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -25,9 +25,18 @@
 	idleLimit = 30 * time.Second
 )
 
-// Done takes the end of an attempt, on the attempt's event loop. Errors are
-// *NotSentError and *LostError.
-type Done func(response *fasthttp.Response, err error)
+// Handler takes the end of an attempt.
+type Handler interface {
+	// Ended is called once, on the attempt's event loop. The response belongs to
+	// the handler. Errors are *NotSentError and *LostError.
+	Ended(response *fasthttp.Response, err error)
+}
+
+// HandlerFunc is a function that is a Handler.
+type HandlerFunc func(response *fasthttp.Response, err error)
+
+// Ended implements Handler.
+func (f HandlerFunc) Ended(response *fasthttp.Response, err error) { f(response, err) }
 
 // Client keeps the connections to all targets. Start and Sweep touch only what
 // belongs to the given event loop.
@@ -74,12 +83,11 @@
 	return p
 }
 
-// Start sends a request and calls done once with the whole answer. The attempt
-// is lost at deadline, give or take a sweep. Start must be called on loop, and
-// keeps request until done is called.
-func (c *Client) Start(loop gnet.EventLoop, attempt *Attempt, deadline time.Time, request *fasthttp.Request, done Done) {
-	e := &exchange{attempt: attempt, request: request, deadline: deadline, done: done}
-	attempt.bind(loop, e)
+// Start sends a request and passes the whole answer to handler. The attempt is
+// lost at deadline, give or take a sweep. Start must be called on loop and once
+// an attempt; it keeps request until handler is called.
+func (c *Client) Start(loop gnet.EventLoop, attempt *Attempt, deadline time.Time, request *fasthttp.Request, handler Handler) {
+	e := attempt.bind(loop, exchange{attempt: attempt, request: request, deadline: deadline, handler: handler})
 	p := c.pool(loop, attempt.Address.HostPort)
 	if conn := p.take(); conn != nil {
 		conn.send(e)
--- a/internal/targetclient/client_test.go
+++ b/internal/targetclient/client_test.go
@@ -83,7 +83,7 @@
 	request.SetRequestURI("http://target/")
 	ended := make(chan error, 1)
 	onLoop(loop, func() {
-		client.Start(loop, attempt, time.Now().Add(patience), request, func(_ *fasthttp.Response, err error) { ended <- err })
+		client.Start(loop, attempt, time.Now().Add(patience), request, HandlerFunc(func(_ *fasthttp.Response, err error) { ended <- err }))
 	})
 	return <-ended
 }
--- a/internal/targetclient/exchange.go
+++ b/internal/targetclient/exchange.go
@@ -21,9 +21,10 @@
 	// Address is set before the handle is used.
 	Address Address
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// loop is nil until the attempt is started.
 	loop     gnet.EventLoop
-	exchange *exchange
+	exchange exchange
 	canceled bool
 }
 
@@ -32,17 +33,18 @@
 func (a *Attempt) Cancel() {
 	a.mu.Lock()
 	a.canceled = true
-	loop, e := a.loop, a.exchange
+	loop := a.loop
 	a.mu.Unlock()
-	if e != nil {
-		onLoop(loop, e.cancel)
+	if loop != nil {
+		onLoop(loop, a.exchange.cancel)
 	}
 }
 
-func (a *Attempt) bind(loop gnet.EventLoop, e *exchange) {
+func (a *Attempt) bind(loop gnet.EventLoop, e exchange) *exchange {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.loop, a.exchange = loop, e
+	return &a.exchange
 }
 
 func (a *Attempt) isCanceled() bool {
@@ -57,7 +59,7 @@
 	attempt  *Attempt
 	request  *fasthttp.Request
 	deadline time.Time
-	done     Done
+	handler  Handler
 	conn     *targetConn
 	finished bool
 }
@@ -69,7 +71,7 @@
 	}
 	e.finished = true
 	e.conn = nil
-	e.done(response, err)
+	e.handler.Ended(response, err)
 }
 
 // cancel ends the exchange. One that waits for its connection ends when that is
