Format the numbers of an attempt's headers on the stack

Cause: the attempt ID, the time left and the allowance were strings built for each attempt. Ruled out: one ID a call, since a late answer to one attempt has to be told from another's. Change: the values are appended to a buffer on the stack; they read the same.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -14,6 +14,9 @@
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
+// idBase is the base of the numbers in attempt IDs.
+const idBase = 36
+
 // attempt is the driver's part of one attempt.
 type attempt struct {
 	shard    *shard
@@ -78,12 +81,25 @@
 	request.SetBodyRaw(c.request.Body())
 	left := max(c.decision.Deadline.Sub(now).Milliseconds(), 1)
 	request.Header.Del(fasthttp.HeaderConnection)
-	request.Header.Set(wire.HeaderTimeout, strconv.FormatInt(left, 10))
-	request.Header.Set(wire.HeaderAttempts, strconv.Itoa(attempt.Allowance()))
-	request.Header.Set(wire.HeaderAttemptID, c.shard.proxy.instance+"-"+strconv.FormatUint(c.decision.ID, 36)+"-"+strconv.FormatUint(attempt.ID, 36))
+	var buffer headerBuffer
+	request.Header.SetBytesV(wire.HeaderTimeout, strconv.AppendInt(buffer[:0], left, 10))
+	request.Header.SetBytesV(wire.HeaderAttempts, strconv.AppendInt(buffer[:0], int64(attempt.Allowance()), 10))
+	request.Header.SetBytesV(wire.HeaderAttemptID, c.appendAttemptID(buffer[:0], attempt))
 	return request
 }
 
+// headerBuffer holds a header's value on the stack.
+type headerBuffer [96]byte
+
+// appendAttemptID appends what identifies an attempt among those of all daemons.
+func (c *call) appendAttemptID(buffer []byte, attempt *dispatch.Attempt) []byte {
+	buffer = append(buffer, c.shard.proxy.instance...)
+	buffer = append(buffer, '-')
+	buffer = strconv.AppendUint(buffer, c.decision.ID, idBase)
+	buffer = append(buffer, '-')
+	return strconv.AppendUint(buffer, attempt.ID, idBase)
+}
+
 // resultOf classifies the end of an attempt.
 func (p *Proxy) resultOf(response *fasthttp.Response, err error) dispatch.Result {
 	if err != nil {
