Take a service's lock once on the arrival of a call

Cause: each arrival took the lock three times: for the request type, for the scheduler and for measuring. Measuring looked for the oldest load report among all targets even while no probe was due. Ruled out: a lock of its own for the probe budget; it guards the same targets. Change: the service's rules are an atomic pointer; measuring runs under the arrival's lock and asks the budget first.

--- a/internal/probe/budget.go
+++ b/internal/probe/budget.go
@@ -90,21 +90,29 @@
 	return int(min(max(lanes, 1), maxLanes))
 }
 
-// Lanes returns the number of probes that may be under way at once.
-func (b *Budget) Lanes() int { return len(b.lanes) }
+// Ready reports whether a probe may be sent now.
+func (b *Budget) Ready(now time.Time) bool { return b.freeLane(now) >= 0 }
 
-// Start returns a ticket if a probe may be sent now.
-func (b *Budget) Start(now time.Time) (Ticket, bool) {
+// freeLane returns the index of a lane that may send a probe now, -1 if there is
+// none.
+func (b *Budget) freeLane(now time.Time) int {
 	for i := range b.lanes {
-		current := &b.lanes[i]
-		if current.busy || now.Before(current.next) {
-			continue
+		if !b.lanes[i].busy && !now.Before(b.lanes[i].next) {
+			return i
 		}
-		current.busy = true
-		b.meter.count(now, b.share, len(b.lanes))
-		return Ticket{lane: i, generation: b.generation}, true
 	}
-	return Ticket{}, false
+	return -1
+}
+
+// Start returns a ticket if a probe may be sent now.
+func (b *Budget) Start(now time.Time) (Ticket, bool) {
+	free := b.freeLane(now)
+	if free < 0 {
+		return Ticket{}, false
+	}
+	b.lanes[free].busy = true
+	b.meter.count(now, b.share, len(b.lanes))
+	return Ticket{lane: free, generation: b.generation}, true
 }
 
 // Done ends a probe: it was answered, or its connection is closed.
--- a/internal/proxy/benchmark_test.go
+++ b/internal/proxy/benchmark_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strconv"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
@@ -159,3 +160,23 @@
 		}
 	})
 }
+
+// BenchmarkMeasure measures what measuring adds to each call of a service that
+// has many targets and whose budget is used up for now.
+func BenchmarkMeasure(b *testing.B) {
+	const targets = 300
+	addresses := make([]string, targets)
+	for i := range addresses {
+		addresses[i] = "127.0.0.1:1"
+	}
+	service := serviceOf(addresses...)
+	service.ProbesPerSecond = 1
+	p, _ := startEntry(b, service)
+	s := (*p.shards.Load())[service.Name]
+	b.ReportAllocs()
+	for b.Loop() {
+		s.mu.Lock()
+		s.measure(time.Now())
+		s.mu.Unlock()
+	}
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -73,7 +73,7 @@
 	if s == nil {
 		return nil, refusal(fasthttp.StatusNotFound, reasonUnknownService, "the header "+wire.HeaderService+" names no configured service")
 	}
-	requestType := s.requestType(string(request.Header.Peek(wire.HeaderType)))
+	requestType := s.service.Load().RequestType(string(request.Header.Peek(wire.HeaderType)))
 	if requestType == nil {
 		return nil, refusal(fasthttp.StatusNotFound, reasonUnknownType, "the header "+wire.HeaderType+" names no request type of the service")
 	}
@@ -97,12 +97,6 @@
 	return c, c.parseKey()
 }
 
-func (s *shard) requestType(name string) *config.RequestType {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.service.RequestType(name)
-}
-
 // timeoutOf returns the time left for the answer: the caller's, but never more
 // than the request type allows.
 func timeoutOf(request *fasthttp.Request, requestType *config.RequestType) (time.Duration, error) {
@@ -142,9 +136,10 @@
 func (c *call) start(current gnet.EventLoop) {
 	c.exchange.WatchCaller(c)
 	c.shard.event(current, func(now time.Time) []dispatch.Action {
-		return c.shard.scheduler.Arrive(now, &c.decision)
+		actions := c.shard.scheduler.Arrive(now, &c.decision)
+		c.shard.measure(now)
+		return actions
 	})
-	c.shard.measure()
 }
 
 // CallerGone implements callerserver.CallerWatcher.
--- a/internal/proxy/counts.go
+++ b/internal/proxy/counts.go
@@ -45,12 +45,13 @@
 func (s *shard) state(name string) ServiceState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	service := s.service.Load()
 	state := ServiceState{
 		Service:         name,
-		ProbesPerSecond: s.service.ProbesPerSecond,
-		ProbeShare:      s.proxy.share(s.service),
-		RetryShare:      s.service.RetryShare,
-		HedgeShare:      s.service.HedgeShare,
+		ProbesPerSecond: service.ProbesPerSecond,
+		ProbeShare:      s.proxy.share(service),
+		RetryShare:      service.RetryShare,
+		HedgeShare:      service.HedgeShare,
 		Attempts:        s.attempts,
 	}
 	for _, target := range s.scheduler.Targets() {
--- a/internal/proxy/measure.go
+++ b/internal/proxy/measure.go
@@ -70,13 +70,11 @@
 	return probe.Share(service.ProbesPerSecond, service.EntryVMs(), int(p.measuring.entryVMs.Load()))
 }
 
-// measure sends a probe if the budget allows it and a target is worth one.
-func (s *shard) measure() {
-	now := time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.budget.SetShare(now, s.proxy.share(s.service))
-	if s.budget.Lanes() == 0 {
+// measure sends a probe if the budget allows it and a target is worth one. The
+// lock is held.
+func (s *shard) measure(now time.Time) {
+	s.budget.SetShare(now, s.proxy.share(s.service.Load()))
+	if !s.budget.Ready(now) {
 		return
 	}
 	target := s.scheduler.ProbeTarget(now)
--- a/internal/proxy/once.go
+++ b/internal/proxy/once.go
@@ -25,10 +25,10 @@
 const commitWait = time.Second
 
 func (c *call) parseKey() *problem {
-	text := string(c.request.Header.Peek(wire.HeaderIdempotencyKey))
 	if c.decision.Type.Idempotent {
 		return nil
 	}
+	text := string(c.request.Header.Peek(wire.HeaderIdempotencyKey))
 	if text == "" {
 		return refusal(fasthttp.StatusBadRequest, reasonKeyRequired, "this request type needs the header "+wire.HeaderIdempotencyKey)
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -94,9 +94,11 @@
 	proxy *Proxy
 	name  string
 
+	// service is read without the lock.
+	service atomic.Pointer[config.Service]
+
 	mu        sync.Mutex
 	scheduler *dispatch.Scheduler
-	service   *config.Service
 	budget    probe.Budget
 	timer     *time.Timer
 	wakeAt    time.Time
@@ -116,7 +118,7 @@
 	if err := s.scheduler.Configure(service); err != nil {
 		return err
 	}
-	s.service = service
+	s.service.Store(service)
 	return nil
 }
 
