Leave attempts in flight alone when the target client closes

Cause: Client.Close swept with a time a minute ahead, which also ended attempts whose deadline lay before it. The daemon closes its event loops first, so no call was lost; others that close a client would lose theirs. Ruled out: waiting for the attempts; the daemon drains before. Change: Close closes idle connections only. TestCloseLeavesAttemptsInFlightAlone fails before (the attempt ends with an error) and passes after (20 runs with -race).

Tests: a server that could not take its address was waited for without an end. With another process on 127.77.1.1:8080, TestLastAnswerIsWhole hung until its timeout, in startLarge. Its tests shared fixed addresses with every other run on the machine; they now take a free one, and starting a server fails the test if Run returns. go test -race -count=10 ./internal/callerserver passes.

--- a/internal/callerserver/close_test.go
+++ b/internal/callerserver/close_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"testing"
@@ -10,8 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
-
-	"github.com/poplarwheel/poplarwheel/internal/logging"
 )
 
 // largeAnswer is more than the buffers of a connection hold.
@@ -25,21 +22,16 @@
 	exchange.Reply(response)
 }
 
-func startLarge(t *testing.T, address string) *Server {
+func startLarge(t *testing.T) (*Server, string) {
 	t.Helper()
 	limits := Limits{HeaderBytes: 4096, BodyBytes: 256 << 10, SendTimeout: 5 * time.Second, IdleTimeout: time.Minute}
-	server := New(largeHandler{}, limits, logging.Discard())
-	go func() { _ = server.Run(address, 1) }()
-	<-server.Started()
-	t.Cleanup(func() { _ = server.Stop(context.Background()) })
-	return server
+	return startHandler(t, largeHandler{}, limits)
 }
 
 // TestLastAnswerIsWhole: a caller that reads slowly, and that has sent more
 // before the answer told it to close, gets the whole answer.
 func TestLastAnswerIsWhole(t *testing.T) {
-	const address = "127.77.1.1:8080"
-	server := startLarge(t, address)
+	server, address := startLarge(t)
 	server.Drain()
 	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
@@ -77,8 +69,7 @@
 // TestCallerGoneDuringAnswer: a caller that leaves in the middle of an answer
 // isn't counted for ever.
 func TestCallerGoneDuringAnswer(t *testing.T) {
-	const address = "127.77.1.2:8080"
-	server := startLarge(t, address)
+	server, address := startLarge(t)
 	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	_, err = conn.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))
@@ -92,8 +83,7 @@
 // TestRejectionArrivesWhole: the reason for a refusal reaches a caller that is
 // still sending.
 func TestRejectionArrivesWhole(t *testing.T) {
-	const address = "127.77.1.3:8080"
-	startLarge(t, address)
+	_, address := startLarge(t)
 	conn, err := net.Dial("tcp", address)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -50,6 +50,13 @@
 func startServer(t *testing.T, limits Limits) (*Server, *echoHandler, string) {
 	t.Helper()
 	handler := &echoHandler{}
+	server, address := startHandler(t, handler, limits)
+	return server, handler, address
+}
+
+// startHandler serves callers on a free address until the end of the test.
+func startHandler(t *testing.T, handler Handler, limits Limits) (*Server, string) {
+	t.Helper()
 	server := New(handler, limits, logging.Discard())
 	address := freeAddress(t)
 	failed := make(chan error, 1)
@@ -64,7 +71,7 @@
 		defer cancel()
 		require.NoError(t, server.Stop(ctx))
 	})
-	return server, handler, address
+	return server, address
 }
 
 // freeAddress returns an address that no other test process uses.
--- a/internal/proxy/chain_test.go
+++ b/internal/proxy/chain_test.go
@@ -67,8 +67,13 @@
 	listener := listen(t)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	go func() { _ = server.Run(address, 1) }()
-	<-server.Started()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Run(address, 1) }()
+	select {
+	case <-server.Started():
+	case err := <-failed:
+		require.NoError(t, err)
+	}
 	t.Cleanup(func() {
 		p.Close()
 		go func() { _ = server.Stop(context.Background()) }()
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -232,9 +232,21 @@
 	}
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections. Attempts in flight go on.
 func (c *Client) Close() {
-	c.Sweep(time.Now().Add(2 * idleLimit))
+	c.loops.Range(func(_, value any) bool {
+		pools := value.(*loopPools)
+		onLoop(pools.loop, pools.closeAllIdle)
+		return true
+	})
+}
+
+func (l *loopPools) closeAllIdle() {
+	for address, p := range l.pools {
+		for len(p.idle) > 0 {
+			l.closeIdle(address)
+		}
+	}
 }
 
 // serialize returns the request's bytes. The caller returns the buffer to the
--- a/internal/targetclient/client_test.go
+++ b/internal/targetclient/client_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -51,8 +52,13 @@
 	limits := callerserver.Limits{HeaderBytes: 4096, BodyBytes: 4096, SendTimeout: patience, IdleTimeout: patience}
 	server := callerserver.New(finder, limits, logging.Discard())
 	address := freeAddress(t)
-	go func() { _ = server.Run(address, 1) }()
-	<-server.Started()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Run(address, 1) }()
+	select {
+	case <-server.Started():
+	case err := <-failed:
+		require.NoError(t, err)
+	}
 	t.Cleanup(func() { _ = server.Stop(context.Background()) })
 	status, _, err := fasthttp.Get(nil, "http://"+address+"/")
 	require.NoError(t, err)
@@ -136,6 +142,50 @@
 	require.Zero(t, openTo(client, address))
 }
 
+// answerLater serves one connection and answers its request once told to.
+func answerLater(t *testing.T, answer <-chan struct{}) (address string, received <-chan struct{}) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	got := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		var request fasthttp.Request
+		if request.Read(bufio.NewReader(conn)) != nil {
+			return
+		}
+		close(got)
+		<-answer
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	return listener.Addr().String(), got
+}
+
+func TestCloseLeavesAttemptsInFlightAlone(t *testing.T) {
+	answer := make(chan struct{})
+	address, received := answerLater(t, answer)
+	client := New()
+	loop := loopOf(t)
+	ended := make(chan error, 1)
+	go func() { ended <- do(loop, client, &Attempt{Address: Address{HostPort: address}}, fasthttp.MethodGet) }()
+	<-received
+	client.Close()
+	closed := make(chan struct{})
+	onLoop(loop, func() { close(closed) })
+	<-closed
+	close(answer)
+	require.NoError(t, <-ended)
+	require.Equal(t, int64(1), openTo(client, Address{HostPort: address}))
+	client.Close()
+	require.Eventually(t, func() bool { return openTo(client, Address{HostPort: address}) == 0 }, patience, time.Millisecond)
+}
+
 func openTo(client *Client, address Address) int64 {
 	open, ok := client.open.Load(address.HostPort)
 	if !ok {
