--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -1,12 +1,12 @@
 package callerserver
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/headerreader"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
@@ -46,26 +46,37 @@
 var headerEnd = []byte("\r\n\r\n")
 
 // parse reads one request from the start of buffered. It returns a nil request
-// while more bytes are needed. The error is a *ParseError.
+// while more bytes are needed. The request comes from fasthttp's pool and keeps
+// nothing of buffered. The error is a *ParseError.
 func parse(buffered []byte, limits Limits) (request *fasthttp.Request, size int, err error) {
 	headerSize, err := headerLength(buffered, limits)
 	if headerSize == 0 || err != nil {
 		return nil, 0, err
 	}
-	request = &fasthttp.Request{}
-	if err := readHeader(request, buffered[:headerSize]); err != nil {
+	request = fasthttp.AcquireRequest()
+	size, err = readRequest(request, buffered, headerSize, limits)
+	if err != nil || len(buffered) < size {
+		fasthttp.ReleaseRequest(request)
 		return nil, 0, err
 	}
+	return request, size, nil
+}
+
+// readRequest fills in the request and returns the number of bytes that it takes,
+// which is above len(buffered) while some are missing.
+func readRequest(request *fasthttp.Request, buffered []byte, headerSize int, limits Limits) (int, error) {
+	if err := readHeader(request, buffered[:headerSize]); err != nil {
+		return 0, err
+	}
 	bodySize, err := bodyLength(request, limits)
 	if err != nil {
-		return nil, 0, err
+		return 0, err
 	}
-	size = headerSize + bodySize
-	if len(buffered) < size {
-		return nil, 0, nil
+	size := headerSize + bodySize
+	if len(buffered) >= size {
+		request.SetBody(buffered[headerSize:size])
 	}
-	request.SetBody(buffered[headerSize:size])
-	return request, size, nil
+	return size, nil
 }
 
 // headerLength returns the length of the header, or 0 while it isn't complete.
@@ -87,12 +98,12 @@
 // readHeader parses a header. All of it has to be one header: the codec also ends
 // a header at two bare line feeds, and what follows them would get lost.
 func readHeader(request *fasthttp.Request, header []byte) error {
-	source := bytes.NewReader(header)
-	reader := bufio.NewReaderSize(source, len(header))
-	if err := request.Header.Read(reader); err != nil {
+	reader := headerreader.Acquire(header, len(header))
+	defer reader.Release()
+	if err := request.Header.Read(reader.Buffered); err != nil {
 		return malformed(err)
 	}
-	if rest := reader.Buffered() + source.Len(); rest > 0 {
+	if rest := reader.Rest(); rest > 0 {
 		return malformed(&TrailingBytesError{Bytes: rest})
 	}
 	switch string(request.Header.Method()) {
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -33,18 +33,30 @@
 	response := &fasthttp.Response{}
 	response.SetBody(request.Body())
 	if string(request.URI().Path()) == "/never" {
-		exchange.OnCallerGone(func() {
+		exchange.WatchCaller(watcherFunc(func() {
 			h.gone.Add(1)
 			exchange.Reply(response)
-		})
+		}))
 		return
 	}
 	go exchange.Reply(response)
 }
 
+// watcherFunc is a function that is a CallerWatcher.
+type watcherFunc func()
+
+func (f watcherFunc) CallerGone() { f() }
+
 func startServer(t *testing.T, limits Limits) (*Server, *echoHandler, string) {
 	t.Helper()
 	handler := &echoHandler{}
+	server, address := startHandler(t, handler, limits)
+	return server, handler, address
+}
+
+// startHandler serves callers on a free address until the end of the test.
+func startHandler(t *testing.T, handler Handler, limits Limits) (*Server, string) {
+	t.Helper()
 	server := New(handler, limits, logging.Discard())
 	address := freeAddress(t)
 	failed := make(chan error, 1)
@@ -59,7 +71,7 @@
 		defer cancel()
 		require.NoError(t, server.Stop(ctx))
 	})
-	return server, handler, address
+	return server, address
 }
 
 // freeAddress returns an address that no other test process uses.
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"strconv"
 	"time"
 
@@ -35,8 +34,9 @@
 	decision dispatch.Call
 	// undecided answers a non-idempotent call whose outcome isn't known in time.
 	undecided *time.Timer
-	// attempted is set with the first attempt. The shard's lock guards it.
-	attempted bool
+	// attempts counts the attempts that were started. The shard's lock guards it
+	// until the call ends.
+	attempts int
 }
 
 // Serve implements callerserver.Handler.
@@ -73,7 +73,7 @@
 	if s == nil {
 		return nil, refusal(fasthttp.StatusNotFound, reasonUnknownService, "the header "+wire.HeaderService+" names no configured service")
 	}
-	requestType := s.requestType(string(request.Header.Peek(wire.HeaderType)))
+	requestType := s.service.Load().RequestType(string(request.Header.Peek(wire.HeaderType)))
 	if requestType == nil {
 		return nil, refusal(fasthttp.StatusNotFound, reasonUnknownType, "the header "+wire.HeaderType+" names no request type of the service")
 	}
@@ -97,12 +97,6 @@
 	return c, c.parseKey()
 }
 
-func (s *shard) requestType(name string) *config.RequestType {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.service.RequestType(name)
-}
-
 // timeoutOf returns the time left for the answer: the caller's, but never more
 // than the request type allows.
 func timeoutOf(request *fasthttp.Request, requestType *config.RequestType) (time.Duration, error) {
@@ -140,32 +134,21 @@
 // start passes the call to the scheduler. Current is the event loop that the
 // caller runs on, or nil.
 func (c *call) start(current gnet.EventLoop) {
-	c.exchange.OnCallerGone(c.abandon)
+	c.exchange.WatchCaller(c)
 	c.shard.event(current, func(now time.Time) []dispatch.Action {
-		return c.shard.scheduler.Arrive(now, &c.decision)
+		actions := c.shard.scheduler.Arrive(now, &c.decision)
+		c.shard.measure(now)
+		return actions
 	})
-	c.shard.measure()
 }
 
-func (c *call) abandon() {
+// CallerGone implements callerserver.CallerWatcher.
+func (c *call) CallerGone() {
 	c.shard.event(c.exchange.Loop(), func(now time.Time) []dispatch.Action {
 		return c.shard.scheduler.Abandon(now, &c.decision)
 	})
 }
 
-// onLoop runs f on the call's event loop: at once if that is the current one.
-func (c *call) onLoop(current gnet.EventLoop, f func()) {
-	loop := c.exchange.Loop()
-	if loop == current {
-		f()
-		return
-	}
-	_ = loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
-		f()
-		return nil
-	}))
-}
-
 // settle carries out the end of the call.
 func (c *call) settle(current gnet.EventLoop, action dispatch.Action) {
 	c.endSuspicion(action)
@@ -197,6 +180,17 @@
 		c.exchange.Reply(response)
 	}
 	fasthttp.ReleaseResponse(response)
+	c.releaseRequest()
+}
+
+// releaseRequest gives the request back to the pool after an answer if nothing
+// else can use it: the only attempt is over, and no record of the call is kept.
+func (c *call) releaseRequest() {
+	if c.key != nil || c.attempts > 1 {
+		return
+	}
+	fasthttp.ReleaseRequest(c.request)
+	c.request = nil
 }
 
 // replyEnd answers that there is no answer.
--- a/internal/proxy/chain_test.go
+++ b/internal/proxy/chain_test.go
@@ -24,10 +24,13 @@
 // callTimeout is long enough for a call on a busy machine.
 const callTimeout = 20 * time.Second
 
+// targetHeaderBytes bounds the header of a request at a target.
+const targetHeaderBytes = 16 << 10
+
 // nextAddress numbers the loopback addresses of this process.
 var nextAddress atomic.Uint32
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	n := nextAddress.Add(1)
 	host := fmt.Sprintf("127.%d.%d.%d", 10+os.Getpid()%200, 200+n/250, 1+n%250)
@@ -46,7 +49,7 @@
 func startTarget(t *testing.T, handler fasthttp.RequestHandler) string {
 	t.Helper()
 	listener := listen(t)
-	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true}
+	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, ReadBufferSize: targetHeaderBytes}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = listener.Close() })
 	return listener.Addr().String()
@@ -54,7 +57,7 @@
 
 // startEntry serves a service with the given targets and returns the proxy and
 // its caller address.
-func startEntry(t *testing.T, service *config.Service) (*Proxy, string) {
+func startEntry(t testing.TB, service *config.Service) (*Proxy, string) {
 	t.Helper()
 	name := "entry-" + strconv.FormatUint(uint64(nextAddress.Add(1)), 10)
 	p := New(name, idempotency.NewGuard(time.Now(), idempotency.Owner{Incarnation: name, VM: name}, nil), quietLog())
@@ -64,8 +67,13 @@
 	listener := listen(t)
 	address := listener.Addr().String()
 	require.NoError(t, listener.Close())
-	go func() { _ = server.Run(address, 1) }()
-	<-server.Started()
+	failed := make(chan error, 1)
+	go func() { failed <- server.Run(address, 1) }()
+	select {
+	case <-server.Started():
+	case err := <-failed:
+		require.NoError(t, err)
+	}
 	t.Cleanup(func() {
 		p.Close()
 		go func() { _ = server.Stop(context.Background()) }()
--- a/internal/proxy/counts.go
+++ b/internal/proxy/counts.go
@@ -45,12 +45,13 @@
 func (s *shard) state(name string) ServiceState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	service := s.service.Load()
 	state := ServiceState{
 		Service:         name,
-		ProbesPerSecond: s.service.ProbesPerSecond,
-		ProbeShare:      s.proxy.share(s.service),
-		RetryShare:      s.service.RetryShare,
-		HedgeShare:      s.service.HedgeShare,
+		ProbesPerSecond: service.ProbesPerSecond,
+		ProbeShare:      s.proxy.share(service),
+		RetryShare:      service.RetryShare,
+		HedgeShare:      service.HedgeShare,
 		Attempts:        s.attempts,
 	}
 	for _, target := range s.scheduler.Targets() {
@@ -73,11 +74,11 @@
 		switch {
 		case action.Attempt.Hedge:
 			s.attempts.Hedges++
-		case payload.attempted:
+		case payload.attempts > 0:
 			s.attempts.Retries++
 		default:
 			s.attempts.First++
 		}
-		payload.attempted = true
+		payload.attempts++
 	}
 }
