Measure the daemons' memory before the bench's own dumps

Cause: the idle memory was read after a dump by the bench itself. Change: it is read before the first dump, and again at the end, after each daemon got one call for each of 78 services.

--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -18,6 +18,7 @@
 	binary  string
 	window  time.Duration
 	changes int
+	called  int
 	points  []point
 }
 
@@ -42,6 +43,7 @@
 	flag.StringVar(&o.binary, "binary", "bin/poplarwheel", "path of the poplarwheel binary")
 	flag.DurationVar(&o.window, "window", 10*time.Second, "length of each measurement")
 	flag.IntVar(&o.changes, "changes", 20, "changes of configuration for each point")
+	flag.IntVar(&o.called, "called", 78, "services that each entry daemon is called for")
 	flag.Parse()
 	var err error
 	if o.points, err = parsePoints(*points); err != nil {
--- a/bench/capacity/measure.go
+++ b/bench/capacity/measure.go
@@ -45,7 +45,10 @@
 	}
 	idle.print("idle", p)
 	fmt.Printf("point=whole entries=%d services=%d targets=%d in_force_ms=%d\n", p.entries, p.services, p.targets, first.Milliseconds())
-	return m.changes(o.changes)
+	if err := m.changes(o.changes); err != nil {
+		return err
+	}
+	return m.called(o.called)
 }
 
 // meter measures one fleet.
@@ -140,7 +143,9 @@
 	if err != nil {
 		return cost{}, err
 	}
-	return after.since(before, m.point.entries), nil
+	spent := after.since(before, m.point.entries)
+	spent.setMemory(before, m.point.entries)
+	return spent, nil
 }
 
 // totals are sums over all entry daemons since their start.
@@ -178,16 +183,23 @@
 func (t totals) since(before totals, entries int) cost {
 	seconds := t.at.Sub(before.at).Seconds()
 	share := seconds * float64(entries)
-	return cost{
+	spent := cost{
 		cpuPercent:      100 * (t.cpu - before.cpu).Seconds() / share,
-		residentMB:      float64(t.resident) / float64(entries) / (1 << 20),
-		anonymousMB:     float64(t.heap) / float64(entries) / (1 << 20),
 		peerBytes:       float64(t.bytes-before.bytes) / share,
 		peerMessages:    float64(t.messages-before.messages) / share,
 		platformReads:   float64(t.platform.Reads-before.platform.Reads) / seconds,
 		platformWrites:  float64(t.platform.Writes-before.platform.Writes) / seconds,
 		platformWatches: float64(t.platform.Watches-before.platform.Watches) / seconds,
 	}
+	spent.setMemory(t, entries)
+	return spent
+}
+
+// setMemory takes the memory of a moment. It was read before the dumps of the same
+// moment, which take memory themselves.
+func (c *cost) setMemory(at totals, entries int) {
+	c.residentMB = float64(at.resident) / float64(entries) / (1 << 20)
+	c.anonymousMB = float64(at.heap) / float64(entries) / (1 << 20)
 }
 
 func (c cost) print(name string, p point) {
