Make a service's scheduler with its first call

Cause: each daemon kept schedulers, target records and a timer for all 440 services, though it is in the entry set of some 78. Heap profile of an idle daemon after a dump: 2.1 of 5.45 MB live come from proxy.Apply. Ruled out: dropping bodies of other services (0.9 MB live; the whole point of a daemon that can serve any call would go), interning strings (0.12 MB live). Change: a shard makes its scheduler with the first call, when one of its targets is reported to be leaving or back, or when targets are added (they start cold as before), and drops it 10 minutes after the last use unless something is under way or a target is leaving, ejected or unhealthy. A change of the configuration leaves services alone whose body is the same; it reset their policies before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"iter"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/strictjson"
@@ -142,6 +143,32 @@
 	return nil
 }
 
+// Targets yields the targets of all groups.
+func (s *Service) Targets() iter.Seq[Target] {
+	return func(yield func(Target) bool) {
+		for _, group := range s.Groups {
+			for _, target := range group.Targets {
+				if !yield(target) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// TargetCount returns the number of targets of all groups.
+func (s *Service) TargetCount() int {
+	count := 0
+	for _, group := range s.Groups {
+		count += len(group.Targets)
+	}
+	return count
+}
+
+// Identity returns the fields that a target keeps over changes of the
+// configuration. A target with another name or address is another target.
+func (t Target) Identity() Target { return Target{Name: t.Name, Address: t.Address} }
+
 // DefaultEntryVMLimit is the default of EntryVMLimit.
 const DefaultEntryVMLimit = 24
 
--- /dev/null
+++ b/internal/dispatch/unused_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestUnusedSchedulerHasNothingUnderWayAndNothingToRemember(t *testing.T) {
+	const length = time.Minute
+	later := start.Add(2 * length)
+	s := testScheduler(t, testService(2))
+	require.True(t, s.Unused(start, length))
+
+	call := testCall(1, booking())
+	attempt := s.Arrive(start, call)[0].Attempt
+	require.False(t, s.Unused(later, length), "an attempt is in flight")
+	s.Finished(start, attempt, Result{Kind: Answered})
+	require.False(t, s.Unused(start.Add(length/2), length), "a call was just made")
+	require.True(t, s.Unused(later, length))
+
+	s.SetLeavingByPeer("target-0")
+	require.False(t, s.Unused(later, length), "a target is leaving")
+	s.SetLeaving("target-0", true)
+	s.SetLeaving("target-0", false)
+	require.True(t, s.Unused(later, length))
+
+	target := s.Targets()[0]
+	target.Probing = true
+	require.False(t, s.Unused(later, length), "a target is being probed")
+	target.Probing = false
+	check := Check{Name: target.Name, Target: target}
+	s.Checked(later, check, CheckUnhealthy)
+	s.Checked(later, check, CheckUnhealthy)
+	require.False(t, s.Unused(later, length), "a target is unhealthy")
+	s.Checked(later, check, CheckHealthy)
+	require.True(t, s.Unused(later, length))
+}
+
+func TestSchedulerWithAttemptsAtATargetTakenOutIsUsed(t *testing.T) {
+	s := testScheduler(t, testService(1))
+	attempt := s.Arrive(start, testCall(1, booking()))[0].Attempt
+	replaced := testService(1)
+	replaced.Groups[0].Targets[0].Name = "target-9"
+	require.NoError(t, s.Configure(replaced))
+	later := start.Add(time.Hour)
+	s.Expire(later)
+	require.False(t, s.Unused(later, time.Minute))
+	s.Finished(later, attempt, Result{Kind: Answered})
+	require.True(t, s.Unused(later, time.Minute))
+}
--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -142,6 +142,7 @@
 func (c *call) start(current gnet.EventLoop) {
 	c.exchange.OnCallerGone(c.abandon)
 	c.shard.event(current, func(now time.Time) []dispatch.Action {
+		c.shard.use(now)
 		return c.shard.scheduler.Arrive(now, &c.decision)
 	})
 	c.shard.measure()
--- a/internal/proxy/checks.go
+++ b/internal/proxy/checks.go
@@ -20,16 +20,21 @@
 	checksPerTick = 10
 )
 
-// checkTargets makes the health checks of all services until Close.
+// checkTargets makes the health checks of all services and releases unused
+// schedulers until Close.
 func (p *Proxy) checkTargets() {
 	ticker := time.NewTicker(checkTick)
 	defer ticker.Stop()
+	release := time.NewTicker(releaseInterval)
+	defer release.Stop()
 	for {
 		select {
 		case <-p.stop:
 			return
 		case now := <-ticker.C:
 			p.startChecks(now)
+		case now := <-release.C:
+			p.releaseUnused(now)
 		}
 	}
 }
@@ -47,6 +52,9 @@
 func (s *shard) checksDue(now time.Time, limit int) []dispatch.Check {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return nil
+	}
 	return s.scheduler.ChecksDue(now, limit)
 }
 
--- a/internal/proxy/counts.go
+++ b/internal/proxy/counts.go
@@ -52,9 +52,12 @@
 		RetryShare:      s.service.RetryShare,
 		HedgeShare:      s.service.HedgeShare,
 		Attempts:        s.attempts,
+		Targets:         s.service.TargetCount(),
+	}
+	if s.scheduler == nil {
+		return state
 	}
 	for _, target := range s.scheduler.Targets() {
-		state.Targets++
 		state.InFlight += target.InFlight
 		if target.Leaving {
 			state.Leaving++
--- a/internal/proxy/measure.go
+++ b/internal/proxy/measure.go
@@ -75,6 +75,9 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return
+	}
 	s.budget.SetShare(now, s.proxy.share(s.service))
 	if s.budget.Lanes() == 0 {
 		return
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,11 +1,12 @@
 // Package proxy carries calls: it drives the scheduler of each service, sends
 // its attempts and answers its callers.
 //
-// Each service is a shard with its own lock.
+// Each service is a shard with its own lock. A daemon gets calls for some of the
+// services only: a shard has a scheduler from its first call on, or once something
+// is known of its targets that calls have to heed, until it is unused for a while.
 package proxy
 
 import (
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
@@ -65,7 +67,7 @@
 	for name, service := range snapshot.Services {
 		s := previous[name]
 		if s == nil {
-			s = newShard(p, name)
+			s = &shard{proxy: p, name: name}
 		}
 		if err := s.configure(service); err != nil {
 			p.log.WithError(err).WithField("service", name).Error("service not configured")
@@ -94,30 +96,37 @@
 	proxy *Proxy
 	name  string
 
-	mu        sync.Mutex
+	mu      sync.Mutex
+	service *config.Service
+	// scheduler and timer are nil while the service is unused.
 	scheduler *dispatch.Scheduler
-	service   *config.Service
-	budget    probe.Budget
 	timer     *time.Timer
 	wakeAt    time.Time
-	attempts  AttemptCounts
-}
-
-func newShard(p *Proxy, name string) *shard {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	s := &shard{proxy: p, name: name, scheduler: dispatch.NewScheduler(rng)}
-	s.timer = time.AfterFunc(time.Hour, s.expire)
-	return s
+	// usedAt is when the scheduler was last needed, health checks aside.
+	usedAt   time.Time
+	budget   probe.Budget
+	attempts AttemptCounts
 }
 
+// configure takes a service, which is immutable. The error is a *balancer.UnknownPolicyError.
 func (s *shard) configure(service *config.Service) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.scheduler.Configure(service); err != nil {
+	if s.service == service {
+		return nil
+	}
+	if _, err := balancer.New(service.Policy); err != nil {
 		return err
 	}
+	if s.service != nil && addsTargets(s.service, service) {
+		// Targets that are new to a running service start cold.
+		s.use(time.Now())
+	}
 	s.service = service
-	return nil
+	if s.scheduler == nil {
+		return nil
+	}
+	return s.scheduler.Configure(service)
 }
 
 // actionBuffer holds the actions of one event on the stack.
@@ -128,7 +137,11 @@
 func (s *shard) event(current gnet.EventLoop, send func(now time.Time) []dispatch.Action) {
 	var buffer actionBuffer
 	s.mu.Lock()
-	actions := append(buffer[:0], send(time.Now())...)
+	now := time.Now()
+	if s.scheduler == nil {
+		s.use(now)
+	}
+	actions := append(buffer[:0], send(now)...)
 	s.resetTimer()
 	bindHandles(actions)
 	s.count(actions)
@@ -164,6 +177,9 @@
 }
 
 func (s *shard) expire() {
+	if !s.used() {
+		return
+	}
 	s.event(nil, func(now time.Time) []dispatch.Action {
 		s.wakeAt = time.Time{}
 		return s.scheduler.Expire(now)
--- a/internal/proxy/targets.go
+++ b/internal/proxy/targets.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
@@ -43,12 +44,15 @@
 func (s *shard) targetCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.scheduler.Targets())
+	return s.service.TargetCount()
 }
 
 func (s *shard) targetStates(now time.Time) []TargetState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return s.unusedStates()
+	}
 	var states []TargetState
 	for _, status := range s.scheduler.Statuses(now) {
 		target := status.Target
@@ -68,9 +72,24 @@
 	return states
 }
 
+// unusedStates returns the targets while the service is unused. The lock is held.
+func (s *shard) unusedStates() []TargetState {
+	var states []TargetState
+	for target := range s.service.Targets() {
+		states = append(states, TargetState{
+			Service: s.name,
+			Name:    target.Name,
+			Address: target.Address,
+			Zone:    target.Zone,
+			State:   dispatch.TargetIn,
+		})
+	}
+	return states
+}
+
 // SetTargetsLeavingByPeer takes another daemon's word that targets are leaving.
 func (p *Proxy) SetTargetsLeavingByPeer(names []string) {
-	p.update(func(s *dispatch.Scheduler) {
+	p.update(setOf(names), func(s *dispatch.Scheduler) {
 		for _, name := range names {
 			s.SetLeavingByPeer(name)
 		}
@@ -82,23 +101,45 @@
 func (p *Proxy) LeavingTargets() []string {
 	var names []string
 	for _, s := range *p.shards.Load() {
-		s.mu.Lock()
-		names = append(names, s.scheduler.LeavingByAnswer()...)
-		s.mu.Unlock()
+		names = append(names, s.leavingTargets()...)
 	}
 	return names
 }
 
-// update changes the targets of every service.
-func (p *Proxy) update(change func(s *dispatch.Scheduler)) {
+func (s *shard) leavingTargets() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.scheduler == nil {
+		return nil
+	}
+	return s.scheduler.LeavingByAnswer()
+}
+
+// update changes the services that have one of the named targets.
+func (p *Proxy) update(names map[string]bool, change func(s *dispatch.Scheduler)) {
+	if len(names) == 0 {
+		return
+	}
 	for _, s := range *p.shards.Load() {
+		if !s.hasTarget(names) {
+			continue
+		}
 		s.event(nil, func(now time.Time) []dispatch.Action {
+			s.use(now)
 			change(s.scheduler)
 			return s.scheduler.Expire(now)
 		})
 	}
 }
 
+func setOf(names ...[]string) map[string]bool {
+	set := map[string]bool{}
+	for _, name := range slices.Concat(names...) {
+		set[name] = true
+	}
+	return set
+}
+
 func (s *shard) logChanges(changes []dispatch.Change) {
 	for _, change := range changes {
 		s.proxy.log.WithField("service", s.name).
