Count the bytes that records write; a bench with answers like real ones

Cause: the bytes of records were arithmetic, and the bench's answers were zeros. Change: the recorder counts the bytes of group writes and claims (dump, metric); go run ./bench/once prints bytes a booking, KB/s a daemon and processor time, with answers of 200 bytes of JSON, or random ones, and real fingerprints.

--- a/bench/once/main.go
+++ b/bench/once/main.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/logging"
@@ -43,6 +44,8 @@
 	rates, groups            []int
 	length                   time.Duration
 	seed                     uint64
+	randomAnswers            bool
+	softKeys                 int
 }
 
 func main() {
@@ -54,6 +57,8 @@
 	flag.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
 	flag.IntVar(&o.callers, "callers", 200, "callers, each with a token of its own")
 	flag.IntVar(&o.maxKeys, "max-keys", 1024, "keys of a record object")
+	flag.IntVar(&o.softKeys, "soft-keys", 256, "keys of a record object above which new tokens name another")
+	flag.BoolVar(&o.randomAnswers, "random-answers", false, "answers that don't compress, in place of JSON")
 	flag.Func("rates", "bookings a second, separated by commas", numbers(&o.rates))
 	flag.Func("groups", "grouping intervals in milliseconds, separated by commas", numbers(&o.groups))
 	o.rates, o.groups = []int{20, 200, 1000, 4000}, []int{0, 2, 5, 10}
@@ -80,8 +85,8 @@
 }
 
 func measureAll(o options) error {
-	fmt.Println("| bookings/s | grouping ms | p50 ms | p99 ms | committed % | writes/booking | calls/booking |")
-	fmt.Println("|---|---|---|---|---|---|---|")
+	fmt.Println("| bookings/s | grouping ms | p50 ms | p99 ms | committed % | writes/booking | calls/booking | bytes/booking | KB/s a daemon | cpu us/booking |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|")
 	for _, rate := range o.rates {
 		for _, groupMs := range o.groups {
 			if err := measure(o, rate, groupMs); err != nil {
@@ -112,7 +117,7 @@
 				OutcomeDelay:  100 * time.Millisecond, RetryDelay: 20 * time.Millisecond,
 				MaxKeys: o.maxKeys, MaxAnswerBytes: 4 << 10, MaxAnswersBytes: 128 << 10,
 			},
-			Pool: idempotency.PoolLimits{Slots: 4096, RotateAfter: time.Minute, SoftKeys: 256},
+			Pool: idempotency.PoolLimits{Slots: 4096, RotateAfter: time.Minute, SoftKeys: o.softKeys},
 			Log:  logging.Discard(),
 		})
 		recorder.SetWanted(true)
@@ -125,6 +130,7 @@
 
 // result collects the ends of the bookings of one run.
 type result struct {
+	answers   *answers
 	mu        sync.Mutex
 	latency   *hdrhistogram.Histogram
 	committed int
@@ -140,14 +146,14 @@
 	}
 	go func() { _ = server.Serve(listener) }()
 	f := startFleet(o, groupMs)
-	before := server.Counts()
-	r := &result{latency: hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)}
+	before := takeUsage(server, f)
+	r := &result{answers: newAnswers(o), latency: hdrhistogram.New(1, int64(10*time.Second/time.Microsecond), 3)}
 	sent := offer(o, f, r, rate)
 	r.done.Wait()
 	time.Sleep(200 * time.Millisecond)
-	after := server.Counts()
+	spent := takeUsage(server, f).since(before)
 	close(f.stop)
-	r.print(rate, groupMs, sent, after.Writes-before.Writes, after.Reads-before.Reads)
+	r.print(o, rate, groupMs, sent, spent)
 	return server.Close()
 }
 
@@ -175,6 +181,9 @@
 	return sent
 }
 
+// fingerprint stands for the hash of a request's content.
+func fingerprint(key idempotency.Key) uint64 { return xxhash.Sum64String(key.String()) }
+
 // book commits an intent and records an answer at once.
 func (f *fleet) book(r *result, recorder *idempotency.Recorder, key idempotency.Key, now time.Time) {
 	if key.Token.Kind != idempotency.Recorded {
@@ -182,11 +191,11 @@
 		return
 	}
 	recorder.Begin(now, &idempotency.Send{
-		Key: key, Fingerprint: 1, CommitBy: now.Add(commitWait), AnswerBy: now.Add(commitWait),
+		Key: key, Fingerprint: fingerprint(key), CommitBy: now.Add(commitWait), AnswerBy: now.Add(commitWait),
 		Decided: func(decision idempotency.Decision) {
 			if decision.Verdict == idempotency.Run {
 				r.add(time.Since(now))
-				answer := &idempotency.Answer{StatusCode: 200, ContentType: "application/json", Body: make([]byte, 200)}
+				answer := &idempotency.Answer{StatusCode: 200, ContentType: "application/json", Body: r.answers.next()}
 				recorder.Finish(time.Now(), key, idempotency.Outcome{Status: idempotency.Ran, Answer: answer})
 			}
 			r.done.Done()
@@ -201,9 +210,11 @@
 	_ = r.latency.RecordValue(latency.Microseconds())
 }
 
-func (r *result) print(rate, groupMs, sent int, writes, reads uint64) {
+func (r *result) print(o options, rate, groupMs, sent int, spent usage) {
 	ms := func(quantile float64) float64 { return float64(r.latency.ValueAtQuantile(quantile)) / 1000 }
 	committed := float64(max(r.committed, 1))
-	fmt.Printf("| %d | %d | %.1f | %.1f | %.1f | %.2f | %.2f |\n", rate, groupMs, ms(50), ms(99),
-		100*float64(r.committed)/float64(sent), float64(writes)/committed, float64(writes+reads)/committed)
+	perDaemon := float64(spent.bytes) / 1000 / o.length.Seconds() / float64(o.daemons)
+	fmt.Printf("| %d | %d | %.1f | %.1f | %.1f | %.2f | %.2f | %.0f | %.1f | %.0f |\n", rate, groupMs, ms(50), ms(99),
+		100*float64(r.committed)/float64(sent), float64(spent.writes)/committed, float64(spent.writes+spent.reads)/committed,
+		float64(spent.bytes)/committed, perDaemon, float64(spent.cpu.Microseconds())/committed)
 }
--- a/internal/daemon/once.go
+++ b/internal/daemon/once.go
@@ -87,6 +87,7 @@
 	})
 	registry.Gauge("records_held", "Record objects in memory.", func() float64 { return float64(state().Records) })
 	registry.Counter("record_writes_total", "Group writes to record objects.", func() float64 { return float64(state().Groups) })
+	registry.Counter("record_written_bytes_total", "Bytes of record objects in group writes and claims.", func() float64 { return float64(state().WrittenBytes) })
 	registry.Counter("record_claims_total", "Record objects made ready for new tokens.", func() float64 { return float64(state().Claims) })
 	registry.Counter("record_conflicts_total", "Group writes that found a newer version.", func() float64 { return float64(state().Conflicts) })
 	registry.Counter("record_lost_answers_total", "Group writes whose answer was lost.", func() float64 { return float64(state().Uncertain) })
--- a/internal/idempotency/pool.go
+++ b/internal/idempotency/pool.go
@@ -165,6 +165,7 @@
 	}
 	r.options.Rates.awaitWrite()
 	r.counts.claims.Add(1)
+	r.counts.writtenBytes.Add(uint64(len(value)))
 	if result == NotFound {
 		version, err = r.options.Store.Create(objectKey(slot), value)
 	} else {
@@ -221,6 +222,8 @@
 	WritesPerSecond float64 `json:"writes_per_second"`
 	// Groups counts group writes, resent ones included.
 	Groups uint64 `json:"groups"`
+	// WrittenBytes counts the bytes of objects in group writes and claims.
+	WrittenBytes uint64 `json:"written_bytes"`
 	// Reads counts reads of objects.
 	Reads uint64 `json:"reads"`
 	// Claims counts objects made ready.
@@ -237,6 +240,7 @@
 		PlatformDown:    r.health.down.Load(),
 		WritesPerSecond: r.options.Rates.writesPerSecond(),
 		Groups:          r.counts.groups.Load(),
+		WrittenBytes:    r.counts.writtenBytes.Load(),
 		Reads:           r.counts.reads.Load(),
 		Claims:          r.counts.claims.Load(),
 		Conflicts:       r.counts.conflicts.Load(),
--- a/internal/idempotency/recorder.go
+++ b/internal/idempotency/recorder.go
@@ -66,7 +66,7 @@
 }
 
 type recorderCounts struct {
-	groups, reads, conflicts, uncertain, claims atomic.Uint64
+	groups, reads, conflicts, uncertain, claims, writtenBytes atomic.Uint64
 }
 
 // NewRecorder returns a recorder without records.
@@ -180,6 +180,7 @@
 		return Refused, 0
 	}
 	r.counts.groups.Add(1)
+	r.counts.writtenBytes.Add(uint64(len(value)))
 	version, err := r.options.Store.Update(objectKey(ref.Slot), action.Version, value)
 	r.health.note(err)
 	return r.resultOf(err), version
