--- a/internal/proxy/call.go
+++ b/internal/proxy/call.go
@@ -136,6 +136,7 @@
 func (c *call) start(current gnet.EventLoop) {
 	c.exchange.WatchCaller(c)
 	c.shard.event(current, func(now time.Time) []dispatch.Action {
+		c.shard.use(now)
 		actions := c.shard.scheduler.Arrive(now, &c.decision)
 		c.shard.measure(now)
 		return actions
--- a/internal/proxy/counts.go
+++ b/internal/proxy/counts.go
@@ -53,9 +53,12 @@
 		RetryShare:      service.RetryShare,
 		HedgeShare:      service.HedgeShare,
 		Attempts:        s.attempts,
+		Targets:         service.TargetCount(),
+	}
+	if s.scheduler == nil {
+		return state
 	}
 	for _, target := range s.scheduler.Targets() {
-		state.Targets++
 		state.InFlight += target.InFlight
 		if target.Leaving {
 			state.Leaving++
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -1,12 +1,13 @@
 // Package proxy carries calls: it drives the scheduler of each service, sends
 // its attempts and answers its callers.
 //
-// Each service is a shard with its own lock.
+// Each service is a shard with its own lock. A daemon gets calls for some of the
+// services only: a shard has a scheduler from its first call on, or once something
+// is known of its targets that calls have to heed, until it is unused for a while.
 package proxy
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
@@ -84,7 +86,7 @@
 	for name, service := range snapshot.Services {
 		s := previous[name]
 		if s == nil {
-			s = newShard(p, name)
+			s = &shard{proxy: p, name: name}
 		}
 		if err := s.configure(service); err != nil {
 			p.log.WithError(err).WithField("service", name).Error("service not configured")
@@ -116,30 +118,37 @@
 	// service is read without the lock.
 	service atomic.Pointer[config.Service]
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// scheduler and timer are nil while the service is unused.
 	scheduler *dispatch.Scheduler
-	budget    probe.Budget
 	timer     *time.Timer
 	wakeAt    time.Time
-	attempts  AttemptCounts
-}
-
-func newShard(p *Proxy, name string) *shard {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	s := &shard{proxy: p, name: name, scheduler: dispatch.NewScheduler(rng)}
-	s.scheduler.SetRegion(p.region)
-	s.timer = time.AfterFunc(time.Hour, s.expire)
-	return s
+	// usedAt is when the scheduler was last needed, health checks aside.
+	usedAt   time.Time
+	budget   probe.Budget
+	attempts AttemptCounts
 }
 
+// configure takes a service, which is immutable. The error is a *balancer.UnknownPolicyError.
 func (s *shard) configure(service *config.Service) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.scheduler.Configure(service); err != nil {
+	previous := s.service.Load()
+	if previous == service {
+		return nil
+	}
+	if _, err := balancer.New(service.Policy); err != nil {
 		return err
 	}
+	if previous != nil && addsTargets(previous, service) {
+		// Targets that are new to a running service start cold.
+		s.use(time.Now())
+	}
 	s.service.Store(service)
-	return nil
+	if s.scheduler == nil {
+		return nil
+	}
+	return s.scheduler.Configure(service)
 }
 
 // actionBuffer holds the actions of one event on the stack.
@@ -150,7 +159,11 @@
 func (s *shard) event(current gnet.EventLoop, send func(now time.Time) []dispatch.Action) {
 	var buffer actionBuffer
 	s.mu.Lock()
-	actions := append(buffer[:0], send(time.Now())...)
+	now := time.Now()
+	if s.scheduler == nil {
+		s.use(now)
+	}
+	actions := append(buffer[:0], send(now)...)
 	s.resetTimer()
 	s.bindHandles(actions)
 	s.count(actions)
@@ -183,6 +196,9 @@
 }
 
 func (s *shard) expire() {
+	if !s.used() {
+		return
+	}
 	s.event(nil, func(now time.Time) []dispatch.Action {
 		s.wakeAt = time.Time{}
 		return s.scheduler.Expire(now)
