--- a/internal/daemon/broadcast.go
+++ b/internal/daemon/broadcast.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,13 +26,10 @@
 // them for deliveryLimit.
 func (d *Daemon) broadcast(wait time.Duration, method string, params any) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), max(wait, deliveryLimit))
-	waiting := &recipients{names: map[string]bool{}, done: make(chan struct{})}
+	members := d.reachable()
+	waiting := newRecipients(members)
 	var deliveries sync.WaitGroup
-	for _, member := range d.members.list() {
-		if member.Name == d.settings.Name || member.State == membership.Dead {
-			continue
-		}
-		waiting.names[member.Name] = true
+	for _, member := range members {
 		deliveries.Go(func() {
 			if d.deliver(ctx, member, method, params) {
 				waiting.reached(member.Name)
@@ -45,6 +43,13 @@
 	return waiting.await(wait)
 }
 
+// reachable returns the other entry VMs that aren't dead.
+func (d *Daemon) reachable() []membership.Member {
+	return slices.DeleteFunc(d.members.list(), func(member membership.Member) bool {
+		return member.Name == d.settings.Name || member.State == membership.Dead
+	})
+}
+
 // deliver calls a method at a member until it answers or ctx is done.
 func (d *Daemon) deliver(ctx context.Context, member membership.Member, method string, params any) bool {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -73,6 +78,17 @@
 	done chan struct{}
 }
 
+func newRecipients(members []membership.Member) *recipients {
+	r := &recipients{names: make(map[string]bool, len(members)), done: make(chan struct{})}
+	for _, member := range members {
+		r.names[member.Name] = true
+	}
+	if len(members) == 0 {
+		close(r.done)
+	}
+	return r
+}
+
 func (r *recipients) reached(name string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -84,9 +100,6 @@
 
 // await waits for all to answer and returns the names of those that haven't.
 func (r *recipients) await(wait time.Duration) []string {
-	if r.left() == nil {
-		return nil
-	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/internal/daemon/leavingtargets.go
+++ b/internal/daemon/leavingtargets.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 )
 
@@ -61,10 +60,7 @@
 	var mu sync.Mutex
 	var known peer.LeavingTargets
 	var calls sync.WaitGroup
-	for _, member := range d.members.list() {
-		if member.Name == d.settings.Name || member.State == membership.Dead {
-			continue
-		}
+	for _, member := range d.reachable() {
 		calls.Go(func() {
 			var reply peer.LeavingTargets
 			if err := d.peerClient.Call(ctx, d.members.address(member.IP), peer.MethodLeavingTargets, peer.LeavingTargets{}, &reply); err != nil {
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -8,7 +8,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 )
@@ -140,10 +139,7 @@
 }
 
 func (d *Daemon) learnSuspectsOnce() bool {
-	for _, member := range d.members.list() {
-		if member.Name == d.settings.Name || member.State == membership.Dead {
-			continue
-		}
+	for _, member := range d.reachable() {
 		ctx, cancel := context.WithTimeout(context.Background(), liftLimit)
 		var message peer.Suspects
 		err := d.peerClient.Call(ctx, d.members.address(member.IP), peer.MethodSuspects, struct{}{}, &message)
