Say what changes of the administration API answer with; add the code busy

The contract left open the status of PUT and DELETE, what a resend needs to be taken for the first try, and what a team reads of revisions that other teams made. A daemon that has too many requests under way had no code: rate_limited blames the team, platform_unavailable the platform.

--- a/internal/adminapi/errors.go
+++ b/internal/adminapi/errors.go
@@ -22,10 +22,11 @@
 	// CodeTooSlow (408): the request took too long to arrive.
 	CodeTooSlow Code = "too_slow"
 	// CodeConflict (409): the state forbids the change, for example the removal of a
-	// team that has services.
+	// team that has services, or HeaderIfNoneMatch for a team that exists.
 	CodeConflict Code = "conflict"
-	// CodeStale (412): another change came first; Current is the revision in force
-	// and Changes lists what was accepted since.
+	// CodeStale (412): another change came first. For an acceptance, Current is the
+	// revision in force and Changes lists what was accepted since; services of other
+	// teams that the change doesn't touch are left out.
 	CodeStale Code = "stale_revision"
 	// CodeTooLarge (413): the body is larger than the API takes.
 	CodeTooLarge Code = "too_large"
@@ -42,6 +43,9 @@
 	CodeUnsure Code = "unsure"
 	// CodePlatform (503): the platform doesn't answer; nothing was changed.
 	CodePlatform Code = "platform_unavailable"
+	// CodeBusy (503): the daemon has too many API requests under way; nothing was
+	// changed, and HeaderRetryAfter is set.
+	CodeBusy Code = "busy"
 )
 
 // Field is one problem of a body.
--- a/internal/adminapi/messages.go
+++ b/internal/adminapi/messages.go
@@ -22,7 +22,8 @@
 
 // Configuration is the accepted configuration's newest revision.
 type Configuration struct {
-	Revision   uint64    `json:"revision"`
+	Revision uint64 `json:"revision"`
+	// AcceptedBy is empty if the revision changed nothing of the token's team.
 	AcceptedBy string    `json:"accepted_by"`
 	AcceptedAt time.Time `json:"accepted_at"`
 	// InForce is the revision that this daemon has in force.
--- a/internal/adminapi/paths.go
+++ b/internal/adminapi/paths.go
@@ -12,11 +12,14 @@
 	// PathAcceptances (POST) accepts a questionnaire.Proposal and returns an
 	// AcceptReply with status 201. HeaderIfMatch must name the proposal's base
 	// revision. HeaderRequestID, if given, makes a resend return the first
-	// acceptance's revision.
+	// acceptance's revision; a resend has the same body and a token of the same team.
+	// The answer repeats HeaderRequestID, or has the one that the daemon chose.
 	PathAcceptances = "/v1/acceptances"
-	// PathConfiguration (GET) returns a Configuration, with the revision as ETag.
+	// PathConfiguration (GET) returns a Configuration, with the revision as ETag. The
+	// ETag doesn't cover InForce, so leave HeaderIfNoneMatch out to follow it.
 	PathConfiguration = "/v1/configuration"
-	// PathRevisions (GET) returns a RevisionPage, newest first.
+	// PathRevisions (GET) returns a RevisionPage, newest first. Revisions that changed
+	// nothing of the token's team are left out.
 	PathRevisions = "/v1/revisions"
 	// PathServices (GET) returns a ServicePage, ordered by name.
 	PathServices = "/v1/services"
@@ -36,14 +39,16 @@
 	// PathTeams (GET) returns a TeamPage. For administrators only.
 	PathTeams = "/v1/teams"
 	// PathTeam (GET, PUT, DELETE) reads, replaces or removes a Team. PUT takes a
-	// Limits; HeaderIfMatch must name the team's ETag, or HeaderIfNoneMatch be "*"
-	// for a new team. A team that still has services is not removed. For
-	// administrators only.
+	// Limits and returns the Team with its ETag, with status 201 for a new one;
+	// HeaderIfMatch must name the team's ETag, or HeaderIfNoneMatch be "*" for a new
+	// team. DELETE answers with status 204; a team that still has services is not
+	// removed. For administrators only.
 	PathTeam = "/v1/teams/{team}"
 	// PathTokens (POST) makes a token of the team and returns a NewToken with status
 	// 201. For administrators only.
 	PathTokens = "/v1/teams/{team}/tokens"
-	// PathToken (DELETE) revokes a token. For administrators only.
+	// PathToken (DELETE) revokes a token and answers with status 204. For
+	// administrators only.
 	PathToken = "/v1/teams/{team}/tokens/{token}"
 )
 
