Add the settings of the administration API

The API has a port of its own, since the admin port has no authentication.

go test ./internal/settings ./internal/strictjson ./test/docs passes.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,8 +24,14 @@
 	// PeerPort serves other entry daemons. It is the same on all entry VMs.
 	// Default 7946.
 	PeerPort int `json:"peer_port" validate:"min=1,max=65535"`
-	// AdminPort serves operators. Default 9090.
+	// AdminPort serves operators: metrics, readiness and the dump, without
+	// authentication. Default 9090.
 	AdminPort int `json:"admin_port" validate:"min=1,max=65535"`
+	// APIPort serves the administration API. Default 9091.
+	APIPort int `json:"api_port" validate:"min=1,max=65535"`
+	// APIAdminTokenSHA256 is the SHA-256 of the administrators' token of the
+	// administration API, in hex. Without it nobody is administrator. Optional.
+	APIAdminTokenSHA256 string `json:"api_admin_token_sha256" validate:"omitempty,len=64,hexadecimal"`
 	// Platform is the "ip:port" of the platform's object API.
 	Platform string `json:"platform" validate:"required,hostname_port"`
 	// PlatformTimeoutMs bounds a call to the platform, in milliseconds.
@@ -76,6 +82,7 @@
 		CallerPort:            8080,
 		PeerPort:              7946,
 		AdminPort:             9090,
+		APIPort:               9091,
 		PlatformTimeoutMs:     1000,
 		EventLoops:            2,
 		KeepSeconds:           5,
@@ -106,6 +113,9 @@
 // AdminAddress returns the "ip:port" that serves operators.
 func (s *Settings) AdminAddress() string { return s.address(s.AdminPort) }
 
+// APIAddress returns the "ip:port" that serves the administration API.
+func (s *Settings) APIAddress() string { return s.address(s.APIPort) }
+
 // PeerAddress returns the "ip:port" that serves other entry daemons.
 func (s *Settings) PeerAddress() string { return s.address(s.PeerPort) }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,6 +23,7 @@
 	require.Equal(t, "10.20.0.11:8080", s.CallerAddress())
 	require.Equal(t, "10.20.0.11:7946", s.PeerAddress())
 	require.Equal(t, "10.20.0.11:9090", s.AdminAddress())
+	require.Equal(t, "10.20.0.11:9091", s.APIAddress())
 }
 
 func TestParseRefuses(t *testing.T) {
@@ -40,6 +42,8 @@
 		"platform":        {"platform", "10.20.0.1", `platform: is "10.20.0.1", must be ip:port`},
 		"short key":       {"peer_key", "short", "peer_key: has 5 characters, must have at least 16"},
 		"log level":       {"log_level", "loud", `log_level: is "loud", must be one of: debug info warning error`},
+		"short hash":      {"api_admin_token_sha256", "00ff", "api_admin_token_sha256: has 4 characters, must have exactly 64"},
+		"token as hash":   {"api_admin_token_sha256", strings.Repeat("z", 64), "api_admin_token_sha256: must be hexadecimal digits"},
 		"null":            {"keep_seconds", nil, "keep_seconds: is 0, must be at least 1"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/strictjson/problems.go
+++ b/internal/strictjson/problems.go
@@ -22,6 +22,10 @@
 		return bound(problem, "at least")
 	case "max", "lte":
 		return bound(problem, "at most")
+	case "len":
+		return bound(problem, "exactly")
+	case "hexadecimal":
+		return "must be hexadecimal digits"
 	case "oneof":
 		return fmt.Sprintf("is %q, must be one of: %s", fmt.Sprint(problem.Value()), problem.Param())
 	case "ip", "ipv4":
