Give each try of an acceptance bodies of its own

An acceptance that is sent again while the first try is under way shares its ID, and so far its body keys. If one of the two failed, it deleted the bodies that the other one's head named: TestFailedResendLeavesTheBodiesOfTheFirstTry failed with "object config/services/stock/... not found" before this change. Ruled out: not deleting after a conflict on a body, since the try that made the body may be the one that fails.

The nonce is now random for each try. ReadFrom reads the accepted configuration on top of one that is known: two reads for one changed service in TestReadFromReadsOnlyWhatChanged.

go test ./internal/rollout passes.

--- a/internal/rollout/accept.go
+++ b/internal/rollout/accept.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/poplarwheel/poplarwheel/internal/backoff"
 	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
@@ -83,6 +85,7 @@
 		deadline: time.Now().Add(acceptPatience),
 		pause:    backoff.Backoff{Base: acceptRetryBase, Max: acceptRetryMax},
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		nonce:    config.Hash([]byte(change.ID + uuid.NewString()))[:nonceHexDigits],
 	}
 	return a.run()
 }
@@ -94,7 +97,10 @@
 	deadline time.Time
 	pause    backoff.Backoff
 	rng      *rand.Rand
-	written  []ServiceRef
+	// nonce tells the bodies of this try apart from those of another one with the
+	// same ID, which may be under way.
+	nonce   string
+	written []ServiceRef
 }
 
 func (a *acceptor) run() (uint64, error) {
@@ -250,7 +256,7 @@
 	ref := ServiceRef{
 		Name:     service.Name,
 		Hash:     config.Hash(encoded),
-		Nonce:    config.Hash([]byte(a.change.ID))[:nonceHexDigits],
+		Nonce:    a.nonce,
 		Revision: revision,
 	}
 	if current.Hash == ref.Hash {
--- a/internal/rollout/read.go
+++ b/internal/rollout/read.go
@@ -4,12 +4,19 @@
 
 // Read returns the accepted configuration as the platform holds it. Errors are
 // *CorruptError, *MissingBodyError and those of platform.Store.
-func Read(store platform.Store) (*Applied, error) {
+func Read(store platform.Store) (*Applied, error) { return ReadFrom(store, NewApplied()) }
+
+// ReadFrom returns the accepted configuration as the platform holds it, and reads
+// only the bodies that known lacks. Errors are those of Read.
+func ReadFrom(store platform.Store, known *Applied) (*Applied, error) {
 	head, version, err := ReadHead(store)
 	if err != nil {
 		return nil, err
 	}
-	bodies, err := newLoader(store, nil).load(head, NewApplied(), nil, true)
+	if head.Revision == known.Head.Revision && head.AcceptID == known.Head.AcceptID {
+		return known, nil
+	}
+	bodies, err := newLoader(store, nil).load(head, known, nil, true)
 	if err != nil {
 		return nil, err
 	}
