--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -25,6 +25,9 @@
 	labelOperation = "operation"
 	labelResult    = "result"
 	labelInvariant = "invariant"
+	labelPath      = "path"
+	labelClass     = "class"
+	labelCode      = "code"
 )
 
 // Registry holds the metrics of one daemon.
@@ -34,6 +37,8 @@
 	Calls *Calls
 	// Platform are the metrics of calls to the platform.
 	Platform *Platform
+	// API are the metrics of the administration API.
+	API *API
 }
 
 // NewRegistry returns the metrics of one daemon, with those of the Go runtime and
@@ -42,6 +47,7 @@
 	r := &Registry{registry: prometheus.NewRegistry()}
 	r.Calls = newCalls(r.registry)
 	r.Platform = newPlatform(r.registry)
+	r.API = newAPI(r.registry)
 	r.registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/internal/rollout/accept.go
+++ b/internal/rollout/accept.go
@@ -108,11 +108,11 @@
 	if err != nil {
 		return 0, err
 	}
-	if revision, ok := head.accepted(a.change.ID); ok {
+	if revision, ok := head.Accepted(a.change.ID); ok {
 		return revision, nil
 	}
 	if head.Revision != a.change.Base {
-		return 0, head.stale(a.change.Base)
+		return 0, head.Stale(a.change.Base)
 	}
 	next, err := a.prepare(head)
 	if err != nil {
@@ -349,10 +349,10 @@
 	if err != nil || have == version {
 		return 0, false, nil
 	}
-	if revision, ok := head.accepted(next.AcceptID); ok {
+	if revision, ok := head.Accepted(next.AcceptID); ok {
 		return revision, true, nil
 	}
-	return 0, true, head.stale(next.Revision - 1)
+	return 0, true, head.Stale(next.Revision - 1)
 }
 
 // deleteBodies removes bodies that no head names. Failures only leave garbage.
--- a/internal/rollout/head.go
+++ b/internal/rollout/head.go
@@ -99,8 +99,8 @@
 	return fmt.Sprintf("%s (%s in revision %d by %s)", c.Service, verb, c.Revision, c.By)
 }
 
-// ref returns the reference to a service's body.
-func (h *Head) ref(service string) (ServiceRef, bool) {
+// Ref returns the reference to a service's body, and whether the head has it.
+func (h *Head) Ref(service string) (ServiceRef, bool) {
 	i := sort.Search(len(h.Services), func(i int) bool { return h.Services[i].Name >= service })
 	if i < len(h.Services) && h.Services[i].Name == service {
 		return h.Services[i], true
@@ -110,7 +110,7 @@
 
 // Hash returns the content address of a service in the head, or "".
 func (h *Head) Hash(service string) string {
-	ref, _ := h.ref(service)
+	ref, _ := h.Ref(service)
 	return ref.Hash
 }
 
@@ -145,15 +145,15 @@
 func (h *Head) collectRemoved(entry HistoryEntry, removed map[string]Change) {
 	for _, name := range entry.Removed {
 		_, later := removed[name]
-		_, present := h.ref(name)
+		_, present := h.Ref(name)
 		if !later && !present {
 			removed[name] = Change{Service: name, Removed: true, Revision: entry.Revision, By: entry.AcceptedBy}
 		}
 	}
 }
 
-// accepted returns the revision that the acceptance with the given ID made.
-func (h *Head) accepted(id string) (uint64, bool) {
+// Accepted returns the revision that the acceptance with the given ID made.
+func (h *Head) Accepted(id string) (uint64, bool) {
 	if h.Revision > 0 && h.AcceptID == id {
 		return h.Revision, true
 	}
@@ -165,8 +165,8 @@
 	return 0, false
 }
 
-// stale returns the error of an acceptance that started from base.
-func (h *Head) stale(base uint64) *StaleError {
+// Stale returns the error of an acceptance that started from base.
+func (h *Head) Stale(base uint64) *StaleError {
 	changes, complete := h.ChangesSince(base)
 	return &StaleError{Base: base, Current: h.Revision, Changes: changes, Truncated: !complete}
 }
