Serve the administration API from every entry daemon

The API listens on api_port. A daemon that stops lets requests under way end, up to 30 s, beside the drain of its callers: an acceptance may take 10 s and more on a slow platform.

Lifting a quarantine moves from the admin port, which has no authentication and now only reads, to the API. test/e2e/quarantine_test.go asks the API for it and checks the same things as before.

--- a/internal/admin/accepted.go
+++ b/internal/admin/accepted.go
@@ -89,10 +89,13 @@
 	return nil, err
 }
 
+// newest returns the newest configuration known. One that isn't ahead of the one in
+// force is let go.
 func (a *accepted) newest() *rollout.Applied {
 	current := a.inForce()
 	if a.known.Head.Revision > current.Head.Revision {
 		return a.known
 	}
+	a.known = rollout.NewApplied()
 	return current
 }
--- a/internal/admin/serve.go
+++ b/internal/admin/serve.go
@@ -15,6 +15,8 @@
 
 // serve answers one request.
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	s.underWay.Add(1)
+	defer s.underWay.Add(-1)
 	c := &call{ctx: ctx, template: otherPath}
 	answer, err := s.guarded(c)
 	failure := s.failure(c, err)
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -78,6 +79,7 @@
 	accepted  *accepted
 	limiter   *limiter
 	bodies    chan struct{}
+	underWay  atomic.Int64
 	stop      chan struct{}
 }
 
@@ -139,11 +141,13 @@
 	TeamsReadAt time.Time `json:"teams_read_at"`
 	// Connections is the number of open connections.
 	Connections int32 `json:"connections"`
+	// RequestsUnderWay is the number of requests without an answer.
+	RequestsUnderWay int64 `json:"requests_under_way"`
 }
 
 // Status returns the state of the API.
 func (s *Server) Status() Status {
-	status := Status{Connections: s.http.GetOpenConnectionsCount()}
+	status := Status{Connections: s.http.GetOpenConnectionsCount(), RequestsUnderWay: s.underWay.Load()}
 	if held := s.directory.copy.Load(); held != nil {
 		status.Teams = len(held.document.Teams)
 		status.TeamsReadAt = held.readAt
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -74,8 +74,6 @@
 		d.observed.serveMetrics(ctx)
 	case PathReady:
 		d.serveReady(ctx)
-	case PathLift:
-		d.serveLiftRequest(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"errors"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/admin"
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
@@ -41,6 +40,7 @@
 	proxy       *proxy.Proxy
 	callers     *callerserver.Server
 	admin       *fasthttp.Server
+	api         *admin.Server
 	peers       *peer.Server
 	peerClient  *peer.Client
 	snapshot    atomic.Pointer[config.Snapshot]
@@ -81,6 +81,7 @@
 	d.startLeavingTargets()
 	d.startQuarantine()
 	d.observeParts()
+	d.startAPI()
 	d.admin = newAdminServer(d.serveAdmin, d.log)
 	return d
 }
@@ -134,17 +135,15 @@
 // Run serves until ctx is done and then shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.started = time.Now()
-	adminListener, err := net.Listen("tcp", d.settings.AdminAddress())
+	listeners, err := listen(d.settings.AdminAddress(), d.settings.PeerAddress(), d.settings.APIAddress())
 	if err != nil {
 		return err
 	}
-	peerListener, err := net.Listen("tcp", d.settings.PeerAddress())
-	if err != nil {
-		return errors.Join(err, adminListener.Close())
-	}
-	failed := make(chan error, 3)
-	go func() { failed <- d.admin.Serve(adminListener) }()
-	go func() { failed <- d.peers.Serve(peerListener) }()
+	defer closeAll(listeners)
+	failed := make(chan error, len(listeners)+1)
+	go func() { failed <- d.admin.Serve(listeners[0]) }()
+	go func() { failed <- d.peers.Serve(listeners[1]) }()
+	go func() { failed <- d.api.Serve(listeners[2]) }()
 	go func() { failed <- d.callers.Run(d.settings.CallerAddress(), d.settings.EventLoops) }()
 	go d.follower.Run()
 	go d.followVMs()
@@ -154,18 +153,19 @@
 	go d.once.recorder.Run(d.stop)
 	go d.quarantine.Run(d.stop)
 	go d.learnSuspects()
-	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).Info("entry daemon started")
+	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).WithField("api", d.settings.APIAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
 	case <-ctx.Done():
 	}
 	d.shutdown()
-	_ = peerListener.Close()
 	return err
 }
 
 func (d *Daemon) shutdown() {
+	apiStopped := d.stopAPI()
 	d.drain()
+	<-apiStopped
 	d.once.recorder.Drain(recordDrainLimit)
 	close(d.stop)
 	d.follower.Stop()
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -3,21 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
+	"github.com/poplarwheel/poplarwheel/internal/adminapi"
 	"github.com/poplarwheel/poplarwheel/internal/membership"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 )
 
-// PathLift lifts the quarantine of the content in the "content" query argument,
-// on all entry daemons that answer. It returns a LiftReply.
-const PathLift = "/v1/quarantine/lift"
-
 const (
 	// tellLimit bounds the wait for peers before a suspected request is tried
 	// again.
@@ -34,14 +28,6 @@
 	suspectsAttempts = 20
 )
 
-// LiftReply answers PathLift.
-type LiftReply struct {
-	// Known is set if this daemon suspected the content.
-	Known bool `json:"known"`
-	// Unreached are the names of the entry VMs that didn't confirm.
-	Unreached []string `json:"unreached"`
-}
-
 // quarantinePeers implements quarantine.Peers.
 type quarantinePeers struct {
 	daemon  *Daemon
@@ -177,24 +163,9 @@
 }
 
 // LiftQuarantine forgets content on all entry daemons that answer.
-func (d *Daemon) LiftQuarantine(content quarantine.Content) LiftReply {
-	reply := LiftReply{Known: d.quarantine.Lift(content)}
+func (d *Daemon) LiftQuarantine(content quarantine.Content) adminapi.LiftReply {
+	reply := adminapi.LiftReply{Known: d.quarantine.Lift(content)}
 	reply.Unreached = d.callPeers(liftLimit, peer.MethodLift, peer.Lift{Content: content})
 	d.log.WithField("content", uint64(content)).WithField("unreached", len(reply.Unreached)).Info("quarantine lifted")
 	return reply
 }
-
-func (d *Daemon) serveLiftRequest(ctx *fasthttp.RequestCtx) {
-	content, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("content")), 10, 64)
-	if err != nil {
-		ctx.SetStatusCode(fasthttp.StatusBadRequest)
-		return
-	}
-	body, err := json.Marshal(d.LiftQuarantine(quarantine.Content(content)))
-	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
-}
--- a/test/e2e/quarantine_test.go
+++ b/test/e2e/quarantine_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"encoding/json"
 	"fmt"
 	"strconv"
 	"testing"
@@ -10,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"github.com/poplarwheel/poplarwheel/internal/daemon"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
@@ -162,11 +160,8 @@
 	require.Equal(t, "quarantined", reason)
 	suspects := c.suspects(1)
 	require.Len(t, suspects, 1)
-	url := fmt.Sprintf("http://%s%s?content=%d", c.AdminAddress(0), daemon.PathLift, suspects[0].Content)
-	_, body, err := fasthttp.GetTimeout(nil, url, 10*time.Second)
+	reply, err := c.Lift(0, suspects[0].Content)
 	require.NoError(t, err)
-	var reply daemon.LiftReply
-	require.NoError(t, json.Unmarshal(body, &reply))
 	require.True(t, reply.Known)
 	require.Empty(t, reply.Unreached)
 	outcome, _ := c.check(1, "killer", false, 2)
--- a/test/fleet/addresses.go
+++ b/test/fleet/addresses.go
@@ -30,6 +30,11 @@
 	return net.JoinHostPort(f.entryIP(i), strconv.Itoa(AdminPort))
 }
 
+// APIAddress returns the "ip:port" of the administration API of entry daemon i.
+func (f *Fleet) APIAddress(i int) string {
+	return net.JoinHostPort(f.entryIP(i), strconv.Itoa(APIPort))
+}
+
 // TargetAddress returns the "ip:port" of target i.
 func (f *Fleet) TargetAddress(i int) string {
 	return net.JoinHostPort(f.TargetIP(i), strconv.Itoa(TargetPort))
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -20,6 +20,7 @@
 	CallerPort   = 8080
 	PeerPort     = 7946
 	AdminPort    = 9090
+	APIPort      = 9091
 	PlatformPort = 7000
 	TargetPort   = 8000
 )
@@ -125,6 +126,8 @@
 		"platform": f.Platform,
 		"peer_key": peerKey,
 		"peers":    f.seeds(),
+
+		"api_admin_token_sha256": adminTokenSHA256(),
 	}
 	for field, value := range f.options.Settings {
 		settings[field] = value
