Bound what a request to the administration API reads and waits for

A daemon that had just started, or slept through a change of all services, read every missing body for one request, 60 a second at best and one for each timeout of a slow platform at worst, while other requests waited for the same lock. Now it reads at most 32; beyond that, acceptances and proposals are refused as busy until the daemon has caught up, and reads show what is known without waiting.

Ruled out: loading only the services of the change, since the limits of a team need all of its own, and whose a body is can't be told without reading it.

TestDaemonThatIsBehind and TestRacingChangesOfTeamsAllTakeEffect are new. go test -race ./internal/admin, go test ./internal/rollout ./test/docs and TestTeamConfiguresItsServiceThroughTheAPI pass.

--- a/internal/admin/accept_test.go
+++ b/internal/admin/accept_test.go
@@ -195,3 +195,26 @@
 		require.Equal(t, body.Service.Team, name[:len(body.Service.Team)])
 	}
 }
+
+// While a read of the newest configuration hangs, what is known is shown; a daemon
+// that lacks too much of it proposes and accepts nothing yet.
+func TestDaemonThatIsBehind(t *testing.T) {
+	_, store := startPlatform(t)
+	n, late := startNode(t, store), startNode(t, store)
+	var services []*config.Service
+	for i := range acceptedBodies + 1 {
+		services = append(services, service("swanbrook", fmt.Sprintf("s%d", i), 2, 1))
+	}
+	n.mustAccept(adminToken, 0, services[:acceptedBodies]...)
+	n.mustAccept(adminToken, 1, services[acceptedBodies])
+	refused := late.accept(adminToken, 2, services[:1], nil, nil)
+	requireError(t, 503, adminapi.CodeBusy, refused)
+	require.NotEmpty(t, refused.wait)
+	applied, err := rollout.Read(store)
+	require.NoError(t, err)
+	late.daemon.inForce.Store(applied)
+	late.server.accepted.readMu.Lock()
+	require.Equal(t, 200, late.get("/v1/services/s0", adminToken).status)
+	late.server.accepted.readMu.Unlock()
+	late.mustAccept(adminToken, 2, service("swanbrook", "s0", 3, 1))
+}
--- a/internal/admin/accepted.go
+++ b/internal/admin/accepted.go
@@ -1,8 +1,8 @@
 package admin
 
 import (
-	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/platform"
@@ -15,6 +15,10 @@
 	acceptedMaxAge = time.Second
 	// acceptedReads bounds the reads of a configuration that changes meanwhile.
 	acceptedReads = 3
+	// acceptedBodies bounds the bodies that are read for a request. A daemon that
+	// lacks more has just started, or everything has just changed; it brings them
+	// into force within seconds.
+	acceptedBodies = 32
 )
 
 // accepted reads the accepted configuration. It is safe for concurrent use.
@@ -22,67 +26,67 @@
 	store   platform.Store
 	inForce func() *rollout.Applied
 	now     func() time.Time
-
-	mu    sync.Mutex
-	known *rollout.Applied
-	tried time.Time
+	// ahead is a configuration that was newer than the one in force when it was
+	// read, or nil.
+	ahead atomic.Pointer[rollout.Applied]
+	// readMu is held during a read.
+	readMu sync.Mutex
+	// tried is when the last read began.
+	tried atomic.Pointer[time.Time]
 }
 
 func newAccepted(store platform.Store, inForce func() *rollout.Applied, now func() time.Time) *accepted {
-	return &accepted{store: store, inForce: inForce, now: now, known: rollout.NewApplied()}
+	a := &accepted{store: store, inForce: inForce, now: now}
+	a.expire()
+	return a
 }
 
 // fresh returns the configuration as the platform has it. Errors are those of
-// rollout.Read.
+// rollout.ReadFrom.
 func (a *accepted) fresh() (*rollout.Applied, error) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
+	a.readMu.Lock()
+	defer a.readMu.Unlock()
 	return a.read()
 }
 
 // latest returns the configuration as the platform has it, and in an outage the
-// newest that is known.
-func (a *accepted) latest() *rollout.Applied {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if applied, err := a.read(); err == nil {
-		return applied
+// newest that is known. The error is a *rollout.BehindError.
+func (a *accepted) latest() (*rollout.Applied, error) {
+	latest, err := a.fresh()
+	if err == nil || is[*rollout.BehindError](err) {
+		return latest, err
 	}
-	return a.newest()
+	return a.newest(), nil
 }
 
 // recent returns the newest configuration known: at most acceptedMaxAge old while
-// the platform answers, and at least the one in force here.
+// the platform answers, and at least the one in force here. It doesn't wait for a
+// read that is under way.
 func (a *accepted) recent() *rollout.Applied {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.now().Sub(a.tried) > acceptedMaxAge {
-		_, _ = a.read() // in an outage, what is known is shown
+	if a.now().Sub(*a.tried.Load()) > acceptedMaxAge && a.readMu.TryLock() {
+		defer a.readMu.Unlock()
+		_, _ = a.read() // if it fails, what is known is shown
 	}
 	return a.newest()
 }
 
 // expire makes the next call of recent read the platform.
-func (a *accepted) expire() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.tried = time.Time{}
-}
+func (a *accepted) expire() { a.tried.Store(&time.Time{}) }
 
 // read reads the platform. A body that is missing was replaced after the head had
 // been read.
 func (a *accepted) read() (*rollout.Applied, error) {
-	a.tried = a.now()
+	now := a.now()
+	a.tried.Store(&now)
 	var err error
 	for range acceptedReads {
 		var latest *rollout.Applied
-		latest, err = rollout.ReadFrom(a.store, a.newest())
+		latest, err = rollout.ReadFrom(a.store, a.newest(), acceptedBodies)
 		if err == nil {
-			a.known = latest
+			a.ahead.Store(latest)
 			return latest, nil
 		}
-		var missing *platform.NotFoundError
-		if !errors.As(err, &missing) {
+		if !is[*platform.NotFoundError](err) {
 			return nil, err
 		}
 	}
@@ -90,12 +94,13 @@
 }
 
 // newest returns the newest configuration known. One that isn't ahead of the one in
-// force is let go.
+// force any more is let go.
 func (a *accepted) newest() *rollout.Applied {
 	current := a.inForce()
-	if a.known.Head.Revision > current.Head.Revision {
-		return a.known
+	ahead := a.ahead.Load()
+	if ahead != nil && ahead.Head.Revision > current.Head.Revision {
+		return ahead
 	}
-	a.known = rollout.NewApplied()
+	a.ahead.CompareAndSwap(ahead, nil)
 	return current
 }
--- a/internal/admin/access_test.go
+++ b/internal/admin/access_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -76,6 +77,7 @@
 		})
 	}
 	requireError(t, 404, adminapi.CodeNotFound, n.get("/v1/services/stock", theirs))
+	requireError(t, 404, adminapi.CodeNotFound, n.get(adminapi.PathTargets+"?service=stock", theirs))
 	var page adminapi.ServicePage
 	n.get(adminapi.PathServices, theirs).into(t, 200, &page)
 	require.Equal(t, []adminapi.ServiceSummary{{Name: "routes", Team: "lumenwalk", Revision: 2, Targets: 1}}, page.Services)
@@ -192,3 +194,29 @@
 	require.Equal(t, 200, n.get(adminapi.PathServices, token).status)
 	require.Equal(t, 204, n.do("DELETE", "/v1/teams/swanbrook", adminToken, nil, nil).status)
 }
+
+// Administrators at two daemons change the teams at once, while answers are lost.
+func TestRacingChangesOfTeamsAllTakeEffect(t *testing.T) {
+	server, store := startPlatform(t)
+	nodes := []*node{startNode(t, store), startNode(t, store)}
+	nodes[0].makeTeam("swanbrook", adminapi.Limits{})
+	server.SetFaults(platformd.Faults{LoseWriteShare: 0.3, Seed: 1})
+	ids := make([]string, maxTokensPerTeam-1)
+	var racing sync.WaitGroup
+	for i := range ids {
+		racing.Go(func() { ids[i] = nodes[i%2].makeToken("swanbrook").ID })
+	}
+	racing.Wait()
+	var team adminapi.Team
+	nodes[0].ahead.Add(int64(2 * teamsMaxAge))
+	nodes[0].get("/v1/teams/swanbrook", adminToken).into(t, 200, &team)
+	kept := map[string]bool{}
+	for _, token := range team.Tokens {
+		kept[token.ID] = true
+	}
+	require.Len(t, kept, maxTokensPerTeam)
+	for _, id := range ids {
+		require.True(t, kept[id])
+	}
+	requireError(t, 422, adminapi.CodeLimit, nodes[0].do("POST", "/v1/teams/swanbrook/tokens", adminToken, nil, nil))
+}
--- a/internal/admin/failure.go
+++ b/internal/admin/failure.go
@@ -99,6 +99,8 @@
 		return failed(fasthttp.StatusTooManyRequests, adminapi.CodeRate, err.Error())
 	case is[*BusyError](err):
 		return failed(fasthttp.StatusServiceUnavailable, adminapi.CodeBusy, err.Error())
+	case is[*rollout.BehindError](err):
+		return failed(fasthttp.StatusServiceUnavailable, adminapi.CodeBusy, "this daemon is still reading the newest configuration; nothing was changed")
 	}
 	return nil
 }
@@ -126,7 +128,8 @@
 	if errors.As(err, &limited) {
 		return limited.Wait
 	}
-	if is[*BusyError](err) || is[*platform.UnavailableError](err) && !is[*rollout.UnsureError](err) && !is[*UnsureError](err) {
+	unsure := is[*rollout.UnsureError](err) || is[*UnsureError](err)
+	if is[*BusyError](err) || is[*rollout.BehindError](err) || is[*platform.UnavailableError](err) && !unsure {
 		return busyRetry
 	}
 	return 0
--- a/internal/admin/helpers_test.go
+++ b/internal/admin/helpers_test.go
@@ -73,6 +73,7 @@
 	daemon  *fakeDaemon
 	server  *Server
 	logged  *logtest.Hook
+	metrics *metrics.Registry
 	// ahead is added to the clock.
 	ahead atomic.Int64
 }
@@ -89,7 +90,7 @@
 
 func startNode(t *testing.T, store platform.Store) *node {
 	t.Helper()
-	n := &node{t: t, daemon: &fakeDaemon{}}
+	n := &node{t: t, daemon: &fakeDaemon{}, metrics: metrics.NewRegistry()}
 	n.daemon.inForce.Store(rollout.NewApplied())
 	log := logging.Discard()
 	log.SetLevel(logrus.InfoLevel)
@@ -98,7 +99,7 @@
 		Daemon:           n.daemon,
 		Store:            store,
 		AdminTokenSHA256: hashToken(adminToken),
-		Metrics:          metrics.NewRegistry().API,
+		Metrics:          n.metrics.API,
 		Log:              log,
 		Now:              func() time.Time { return time.Now().Add(time.Duration(n.ahead.Load())) },
 		ReadTimeout:      testReadTimeout,
--- a/internal/admin/questions.go
+++ b/internal/admin/questions.go
@@ -51,7 +51,11 @@
 	if err != nil {
 		return reply{}, err
 	}
-	base := s.accepted.latest().Snapshot()
+	latest, err := s.accepted.latest()
+	if err != nil {
+		return reply{}, err
+	}
+	base := latest.Snapshot()
 	if err := c.who.checkOwners(base, change{services: proposal.Services}); err != nil {
 		return reply{}, err
 	}
--- a/internal/admin/request_test.go
+++ b/internal/admin/request_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -28,6 +29,15 @@
 	}
 	requireError(t, 405, adminapi.CodeMethod, n.get(adminapi.PathAcceptances, adminToken))
 	requireError(t, 405, adminapi.CodeMethod, n.do("PATCH", "/v1/teams/a", adminToken, nil, nil))
+	recorder := httptest.NewRecorder()
+	n.metrics.Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`poplarwheel_api_requests_total{class="4xx",path="other"} 5`,
+		`poplarwheel_api_requests_total{class="4xx",path="/v1/teams/{team}"} 1`,
+		`poplarwheel_api_refusals_total{code="method_not_allowed"} 2`,
+	} {
+		require.Contains(t, recorder.Body.String(), line+"\n")
+	}
 }
 
 func TestBadBodiesAreNamedByField(t *testing.T) {
--- a/internal/adminapi/errors.go
+++ b/internal/adminapi/errors.go
@@ -43,8 +43,9 @@
 	CodeUnsure Code = "unsure"
 	// CodePlatform (503): the platform doesn't answer; nothing was changed.
 	CodePlatform Code = "platform_unavailable"
-	// CodeBusy (503): the daemon has too many API requests under way; nothing was
-	// changed, and HeaderRetryAfter is set.
+	// CodeBusy (503): the daemon has too many API requests under way, or has just
+	// started and lacks most of the newest configuration; nothing was changed, and
+	// HeaderRetryAfter is set.
 	CodeBusy Code = "busy"
 )
 
--- a/internal/rollout/errors.go
+++ b/internal/rollout/errors.go
@@ -82,3 +82,15 @@
 func (e *OlderHeadError) Error() string {
 	return fmt.Sprintf("rollout: the platform holds revision %d, revision %d is in force", e.Offered, e.Current)
 }
+
+// BehindError reports that too many bodies of the newest revision are missing.
+type BehindError struct {
+	// Revision is the newest one.
+	Revision uint64
+	Missing  int
+}
+
+// Error implements error.
+func (e *BehindError) Error() string {
+	return fmt.Sprintf("rollout: %d bodies of revision %d are missing", e.Missing, e.Revision)
+}
--- a/internal/rollout/read.go
+++ b/internal/rollout/read.go
@@ -1,14 +1,21 @@
 package rollout
 
-import "github.com/poplarwheel/poplarwheel/internal/platform"
+import (
+	"math"
+
+	"github.com/poplarwheel/poplarwheel/internal/platform"
+)
 
 // Read returns the accepted configuration as the platform holds it. Errors are
 // *CorruptError, *MissingBodyError and those of platform.Store.
-func Read(store platform.Store) (*Applied, error) { return ReadFrom(store, NewApplied()) }
+func Read(store platform.Store) (*Applied, error) {
+	return ReadFrom(store, NewApplied(), math.MaxInt)
+}
 
 // ReadFrom returns the accepted configuration as the platform holds it, and reads
-// only the bodies that known lacks. Errors are those of Read.
-func ReadFrom(store platform.Store, known *Applied) (*Applied, error) {
+// only the bodies that known lacks. Errors are those of Read, and *BehindError if
+// known lacks more than limit bodies.
+func ReadFrom(store platform.Store, known *Applied, limit int) (*Applied, error) {
 	head, version, err := ReadHead(store)
 	if err != nil {
 		return nil, err
@@ -16,7 +23,11 @@
 	if head.Revision == known.Head.Revision && head.AcceptID == known.Head.AcceptID {
 		return known, nil
 	}
-	bodies, err := newLoader(store, nil).load(head, known, nil, true)
+	loader := newLoader(store, nil)
+	if missing := loader.collect(head.Services, known, map[string]*Body{}); len(missing) > limit {
+		return nil, &BehindError{Revision: head.Revision, Missing: len(missing)}
+	}
+	bodies, err := loader.load(head, known, nil, true)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rollout/resend_test.go
+++ b/internal/rollout/resend_test.go
@@ -65,12 +65,16 @@
 	_, err = acceptLatest(store, "3", service("stock", 2))
 	require.NoError(t, err)
 	before := server.Counts().Reads
-	next, err := ReadFrom(store, known)
+	next, err := ReadFrom(store, known, 1)
 	require.NoError(t, err)
 	require.Equal(t, uint64(3), next.Head.Revision)
 	require.Same(t, known.Bodies["bookings"], next.Bodies["bookings"])
 	require.Equal(t, before+2, server.Counts().Reads, "the head and one body")
-	same, err := ReadFrom(store, next)
+	same, err := ReadFrom(store, next, 0)
 	require.NoError(t, err)
 	require.Same(t, next, same)
+	_, err = ReadFrom(store, NewApplied(), 1)
+	var behind *BehindError
+	require.ErrorAs(t, err, &behind)
+	require.Equal(t, BehindError{Revision: 3, Missing: 2}, *behind)
 }
