--- a/internal/admin/accept_test.go
+++ b/internal/admin/accept_test.go
@@ -142,6 +142,45 @@
 	require.Equal(t, uint64(1), again.Revision)
 }
 
+// beforeRead calls a function before one read of the head.
+type beforeRead struct {
+	platform.Store
+	reads int
+	call  func()
+}
+
+func (s *beforeRead) Get(key string) (platform.Object, error) {
+	if key == rollout.HeadKey {
+		if s.reads--; s.reads == 0 {
+			s.call()
+		}
+	}
+	return s.Store.Get(key)
+}
+
+// Another team's acceptance comes between the check of a change and its effect. The
+// change names the revision before it, or already the one that it makes.
+func TestNothingComesBetweenCheckAndEffect(t *testing.T) {
+	for base := range uint64(2) {
+		_, store := startPlatform(t)
+		theirs := startNode(t, store)
+		between := &beforeRead{Store: store, reads: 2, call: func() {
+			theirs.mustAccept(adminToken, 0, service("swanbrook", "stock", 2, 1))
+		}}
+		n := startNode(t, between)
+		token := n.makeTeam("lumenwalk", adminapi.Limits{})
+		stolen := n.accept(token, base, []*config.Service{service("lumenwalk", "stock", 2, 1)}, nil, nil)
+		requireError(t, 412, adminapi.CodeStale, stolen)
+		accepted, err := rollout.Read(store)
+		require.NoError(t, err)
+		if base == 0 {
+			require.Equal(t, "swanbrook", accepted.Bodies["stock"].Service.Team)
+		} else {
+			require.Empty(t, accepted.Bodies, "refused before anything else was read")
+		}
+	}
+}
+
 func TestLimitsOfATeam(t *testing.T) {
 	_, store := startPlatform(t)
 	n := startNode(t, store)
