Bound the bodies of the administration API by their bytes

16 requests with bodies of 1 MB took 16 MB before they were decoded, half of what a daemon may take for control.

--- a/internal/admin/call.go
+++ b/internal/admin/call.go
@@ -1,12 +1,12 @@
 package admin
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"regexp"
 	"strconv"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
@@ -138,17 +138,25 @@
 // etag returns the entity tag of a number.
 func etag(number uint64) string { return platform.FormatVersion(platform.Version(number)) }
 
-// beginBody takes one of the places for requests with a body. The error is a
-// *BusyError.
-func (s *Server) beginBody() error {
-	timer := time.NewTimer(bodyWait)
-	defer timer.Stop()
-	select {
-	case s.bodies <- struct{}{}:
-		return nil
-	case <-timer.C:
-		return &BusyError{}
+// bodyWeight returns what the body counts among those under way, in bytes. The length
+// of a chunked one isn't known. One that is too large is not kept.
+func (c *call) bodyWeight() int64 {
+	length := c.ctx.Request.Header.ContentLength()
+	switch {
+	case length < 0:
+		return bodyBytes
+	case length > bodyBytes:
+		return minBodyBytes
 	}
+	return int64(max(length, minBodyBytes))
 }
 
-func (s *Server) endBody() { <-s.bodies }
+// beginBody waits until the body may be read. The error is a *BusyError.
+func (s *Server) beginBody(weight int64) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bodyWait)
+	defer cancel()
+	if s.bodies.Acquire(ctx, weight) != nil {
+		return &BusyError{}
+	}
+	return nil
+}
--- a/internal/admin/request_test.go
+++ b/internal/admin/request_test.go
@@ -150,13 +150,14 @@
 func TestBusyServerRefusesBodies(t *testing.T) {
 	_, store := startPlatform(t)
 	n := startNode(t, store)
-	for range bodiesUnderWay {
-		n.server.bodies <- struct{}{}
-	}
+	require.True(t, n.server.bodies.TryAcquire(bodyBytesUnderWay))
 	refused := n.do("POST", adminapi.PathCheck, adminToken, []byte("{}"), nil)
 	requireError(t, 503, adminapi.CodeBusy, refused)
 	require.NotEmpty(t, refused.wait)
 	require.Equal(t, 200, n.get(adminapi.PathServices, adminToken).status)
+	n.server.bodies.Release(minBodyBytes)
+	requireError(t, 400, adminapi.CodeInvalid, n.do("POST", adminapi.PathCheck, adminToken, []byte("{}"), nil))
+	requireError(t, 503, adminapi.CodeBusy, n.do("POST", adminapi.PathCheck, adminToken, make([]byte, minBodyBytes+1), nil))
 }
 
 func TestPages(t *testing.T) {
--- a/internal/admin/serve.go
+++ b/internal/admin/serve.go
@@ -77,10 +77,11 @@
 	if !c.action.body {
 		return c.action.handle(c)
 	}
-	if err := s.beginBody(); err != nil {
+	weight := c.bodyWeight()
+	if err := s.beginBody(weight); err != nil {
 		return reply{}, err
 	}
-	defer s.endBody()
+	defer s.bodies.Release(weight)
 	if err := c.readBody(); err != nil {
 		return reply{}, err
 	}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/poplarwheel/poplarwheel/internal/adminapi"
 	"github.com/poplarwheel/poplarwheel/internal/metrics"
@@ -33,10 +34,12 @@
 	writeTimeout = 30 * time.Second
 	// idleTimeout bounds the time between two requests.
 	idleTimeout = 30 * time.Second
-	// bodiesUnderWay bounds the requests with a body that are read or served at
-	// once, and with it the memory for bodies and the calls to the platform.
-	bodiesUnderWay = 16
-	// bodyWait bounds the wait to become one of them.
+	// bodyBytesUnderWay bounds the bodies that are read or served at once, in bytes.
+	bodyBytesUnderWay = 4 << 20
+	// minBodyBytes is the least that a body counts, in bytes. It bounds the number of
+	// requests that call the platform at once.
+	minBodyBytes = 128 << 10
+	// bodyWait bounds the wait until a body may be read.
 	bodyWait = time.Second
 )
 
@@ -78,7 +81,7 @@
 	directory *directory
 	accepted  *accepted
 	limiter   *limiter
-	bodies    chan struct{}
+	bodies    *semaphore.Weighted
 	underWay  atomic.Int64
 	stop      chan struct{}
 }
@@ -96,7 +99,7 @@
 		directory: newDirectory(o.Store, o.Log, o.Now),
 		accepted:  newAccepted(o.Store, o.Daemon.InForce, o.Now),
 		limiter:   newLimiter(),
-		bodies:    make(chan struct{}, bodiesUnderWay),
+		bodies:    semaphore.NewWeighted(bodyBytesUnderWay),
 		stop:      make(chan struct{}),
 	}
 	s.table = s.routes()
