--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -18,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/adminapi"
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
 	"github.com/poplarwheel/poplarwheel/internal/logging"
 	"github.com/poplarwheel/poplarwheel/internal/loopback"
@@ -160,6 +161,7 @@
 		require.NoError(t, <-stopped)
 	})
 
+	refuseAPIRequest(t, s)
 	for _, line := range strings.Split(get(t, s, daemon.PathMetrics), "\n") {
 		if name, ok := strings.CutPrefix(line, "# TYPE poplarwheel_"); ok {
 			name, _, _ = strings.Cut(name, " ")
@@ -174,6 +176,16 @@
 	}
 }
 
+// refuseAPIRequest has the administration API refuse a request, so that its metrics
+// show.
+func refuseAPIRequest(t *testing.T, s *settings.Settings) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		status, _, err := fasthttp.GetTimeout(nil, "http://"+s.APIAddress()+adminapi.PathServices, time.Second)
+		return err == nil && status == fasthttp.StatusUnauthorized
+	}, 20*time.Second, 20*time.Millisecond)
+}
+
 // get reads a path of the admin port as soon as it answers.
 func get(t *testing.T, s *settings.Settings, path string) string {
 	t.Helper()
