Assert that what a team accepts leaves other teams' services alone

The check of owners goes through the items of a change. The invariant compares the configuration before and after instead, so a fault of the first is seen by the second; a breach is counted, logged and shown in the dump, and panics in tests.

TestApartSeesEachBreach sees it fail for each kind of change. go test ./internal/admin ./test/docs passes.

--- a/internal/admin/accept.go
+++ b/internal/admin/accept.go
@@ -10,6 +10,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/adminapi"
 	"github.com/poplarwheel/poplarwheel/internal/config"
+	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/internal/rollout"
 	"github.com/poplarwheel/poplarwheel/internal/strictjson"
@@ -106,9 +107,12 @@
 		return 0, c.stale(latest.Head.Stale(acceptance.Base), latest.Snapshot(), acceptance)
 	}
 	base := latest.Snapshot()
-	if err := c.who.permit(base, change{services: acceptance.Services, removed: acceptance.Removed}); err != nil {
+	wanted := change{services: acceptance.Services, removed: acceptance.Removed}
+	if err := c.who.permit(base, wanted); err != nil {
 		return 0, err
 	}
+	invariant.Check(c.who.apart(base, wanted.applied(base)), invariant.TeamsApart,
+		"%s changes services of other teams on revision %d", c.who.name(), base.Revision)
 	revision, err := rollout.Accept(s.options.Store, acceptance)
 	s.accepted.expire()
 	var stale *rollout.StaleError
--- a/internal/admin/permission.go
+++ b/internal/admin/permission.go
@@ -131,3 +131,19 @@
 	}
 	return next
 }
+
+// apart reports whether the services of other teams are the same in two
+// configurations.
+func (i *identity) apart(base, next *config.Snapshot) bool {
+	for name, service := range base.Services {
+		if !i.owns(service.Team) && next.Services[name] != service {
+			return false
+		}
+	}
+	for name, service := range next.Services {
+		if !i.owns(service.Team) && base.Services[name] != service {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/admin/permission_test.go
+++ b/internal/admin/permission_test.go
@@ -32,6 +32,7 @@
 				continue
 			}
 			next := c.applied(current)
+			require.True(t, who.apart(current, next))
 			for name, before := range current.Services {
 				if before.Team != who.Team {
 					require.Same(t, before, next.Services[name])
@@ -50,6 +51,20 @@
 	})
 }
 
+// The invariant teams_apart sees each way of changing another team's service.
+func TestApartSeesEachBreach(t *testing.T) {
+	base := &config.Snapshot{Services: map[string]*config.Service{"s0": service("a", "s0", 1, 1)}}
+	for _, c := range []change{
+		{removed: []string{"s0"}},
+		{services: []*config.Service{service("a", "s0", 2, 1)}},
+		{services: []*config.Service{service("b", "s0", 2, 1)}},
+		{services: []*config.Service{service("a", "s1", 2, 1)}},
+	} {
+		require.False(t, (&identity{Team: "b"}).apart(base, c.applied(base)))
+		require.True(t, (&identity{Admin: true}).apart(base, c.applied(base)))
+	}
+}
+
 // A team above a limit that was lowered may still remove, and change what doesn't
 // grow.
 func TestLoweredLimit(t *testing.T) {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -34,6 +34,8 @@
 	EjectionBounded Name = "ejection_bounded"
 	// QueueBounded: the calls that wait for a free slot stay within their bound.
 	QueueBounded Name = "queue_bounded"
+	// TeamsApart: what a team accepts leaves the services of other teams as they are.
+	TeamsApart Name = "teams_apart"
 	// InFlightBalanced: counts of attempts in flight never fall below zero.
 	InFlightBalanced Name = "in_flight_balanced"
 )
