--- a/internal/rollout/accept.go
+++ b/internal/rollout/accept.go
@@ -7,6 +7,8 @@
 	"sort"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/poplarwheel/poplarwheel/internal/backoff"
 	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
@@ -83,6 +85,7 @@
 		deadline: time.Now().Add(acceptPatience),
 		pause:    backoff.Backoff{Base: acceptRetryBase, Max: acceptRetryMax},
 		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		nonce:    config.Hash([]byte(change.ID + uuid.NewString()))[:nonceHexDigits],
 	}
 	return a.run()
 }
@@ -94,7 +97,10 @@
 	deadline time.Time
 	pause    backoff.Backoff
 	rng      *rand.Rand
-	written  []ServiceRef
+	// nonce tells the bodies of this try apart from those of another one with the
+	// same ID, which may be under way.
+	nonce   string
+	written []ServiceRef
 }
 
 func (a *acceptor) run() (uint64, error) {
@@ -102,11 +108,11 @@
 	if err != nil {
 		return 0, err
 	}
-	if revision, ok := head.accepted(a.change.ID); ok {
+	if revision, ok := head.Accepted(a.change.ID); ok {
 		return revision, nil
 	}
 	if head.Revision != a.change.Base {
-		return 0, head.stale(a.change.Base)
+		return 0, head.Stale(a.change.Base)
 	}
 	next, err := a.prepare(head)
 	if err != nil {
@@ -250,7 +256,7 @@
 	ref := ServiceRef{
 		Name:     service.Name,
 		Hash:     config.Hash(encoded),
-		Nonce:    config.Hash([]byte(a.change.ID))[:nonceHexDigits],
+		Nonce:    a.nonce,
 		Revision: revision,
 	}
 	if current.Hash == ref.Hash {
@@ -343,10 +349,10 @@
 	if err != nil || have == version {
 		return 0, false, nil
 	}
-	if revision, ok := head.accepted(next.AcceptID); ok {
+	if revision, ok := head.Accepted(next.AcceptID); ok {
 		return revision, true, nil
 	}
-	return 0, true, head.stale(next.Revision - 1)
+	return 0, true, head.Stale(next.Revision - 1)
 }
 
 // deleteBodies removes bodies that no head names. Failures only leave garbage.
