Give a passed-on call's timer to its event loop alone

Change: only the event loop of the call touches the timer. make soak-race runs the randomised run that way.

--- a/Makefile
+++ b/Makefile
@@ -23,12 +23,20 @@
 SEED ?= 1
 DURATION ?= 60s
 
-.PHONY: soak bench bench-capacity bench-policy bench-policy-full
+.PHONY: soak soak-race bench bench-capacity bench-policy bench-policy-full
 
 # Random failures against separate processes; SEED and DURATION choose the run.
 soak: build
 	$(GO) run ./test/soak -seed $(SEED) -duration $(DURATION)
 
+# The same with daemons built for the race detector; their logs stay in RACE_DIR.
+RACE_DIR ?= bin/soak-race
+soak-race:
+	CGO_ENABLED=1 $(GO) build -race -o $(BINARY)-race ./cmd/poplarwheel
+	rm -rf $(RACE_DIR) && mkdir -p $(RACE_DIR)
+	$(GO) run ./test/soak -binary $(BINARY)-race -seed $(SEED) -duration $(DURATION) -dir $(RACE_DIR)
+	! grep -l "DATA RACE" $(RACE_DIR)/*.log
+
 bench: build
 	$(GO) run ./bench/latency
 
--- a/internal/proxy/forward.go
+++ b/internal/proxy/forward.go
@@ -54,6 +54,8 @@
 	call  *call
 	send  *idempotency.Send
 	state atomic.Int32
+	// timer gives up on the other daemon. It is touched only on the event loop of
+	// the call; nil if its answer has to be waited for.
 	timer *time.Timer
 }
 
@@ -99,6 +101,9 @@
 }
 
 func (f *forwarding) done(response *fasthttp.Response, err error) {
+	if f.timer != nil {
+		f.timer.Stop()
+	}
 	var notSent *targetclient.NotSentError
 	switch {
 	case errors.As(err, &notSent):
@@ -129,13 +134,7 @@
 
 // end returns true for the first end of the forwarding.
 func (f *forwarding) end(state int32) bool {
-	if !f.state.CompareAndSwap(forwardPending, state) {
-		return false
-	}
-	if f.timer != nil {
-		f.timer.Stop()
-	}
-	return true
+	return f.state.CompareAndSwap(forwardPending, state)
 }
 
 // fallBack goes on without the home. Sent means that the home may have the call.
