--- a/internal/rollout/head.go
+++ b/internal/rollout/head.go
@@ -1,12 +1,14 @@
 package rollout
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"sort"
 	"time"
 
+	"github.com/go-json-experiment/json"
+	jsonv1 "github.com/go-json-experiment/json/v1"
+
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 )
 
@@ -189,7 +191,7 @@
 // ParseHead decodes a head object. The error is a *CorruptError.
 func ParseHead(value []byte) (Head, error) {
 	var head Head
-	if err := json.Unmarshal(value, &head); err != nil {
+	if err := json.Unmarshal(value, &head, jsonv1.DefaultOptionsV1()); err != nil {
 		return Head{}, &CorruptError{Key: HeadKey, Cause: err}
 	}
 	return head, nil
