Give the daemon under measurement a connection for each caller

Cause: a run of bench/latency at 8,000 calls/s failed 2 calls. The target took 1,000 connections, of which one daemon gets 1000/24 = 41, and 50 callers can wait at once when the host stalls. Ruled out: the daemon's changes on the way of a call. Change: the target takes 24 connections for each caller.

--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/bench/internal/process"
+	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/test/fleet"
 )
@@ -58,7 +59,7 @@
 		return err
 	}
 	defer f.Close()
-	if err := configure(f); err != nil {
+	if err := configure(f, o); err != nil {
 		return err
 	}
 	if err := printMemory(f); err != nil {
@@ -117,13 +118,15 @@
 	return nil
 }
 
-func configure(f *fleet.Fleet) error {
+// configure lets the entry daemon open a connection to the target for each of the
+// callers'.
+func configure(f *fleet.Fleet, o options) error {
 	revision, err := f.Accept(&questionnaire.Answers{Team: "bench", Services: []questionnaire.Service{{
 		Name:                 "stock",
 		Priority:             questionnaire.PriorityCost,
 		TypicalMs:            100,
 		SlotsPerServer:       1000,
-		ConnectionsPerServer: 1000,
+		ConnectionsPerServer: o.workers * config.DefaultEntryVMLimit,
 		Servers:              f.Servers(0, 0),
 		Requests: []questionnaire.Request{{
 			Name: "availability", AgreedMs: 2000,
