Wait for the rest of a request without reading it again

Cause: each piece of a request that arrives in part was joined with those before, and its header parsed again. Ruled out: passing the body on in pieces; an attempt has to be repeatable. Change: once the header is known, nothing is read before the whole size has arrived. What is counted and bounded stays the same.

--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -45,8 +45,9 @@
 
 var headerEnd = []byte("\r\n\r\n")
 
-// parse reads one request from the start of buffered. It returns a nil request
-// while more bytes are needed. The request comes from fasthttp's pool and keeps
+// parse reads one request from the start of buffered. While more bytes are needed
+// it returns a nil request and the size of the whole, 0 if that isn't known yet.
+// The request comes from fasthttp's pool and keeps
 // nothing of buffered. The error is a *ParseError.
 func parse(buffered []byte, limits Limits) (request *fasthttp.Request, size int, err error) {
 	headerSize, err := headerLength(buffered, limits)
@@ -57,7 +58,7 @@
 	size, err = readRequest(request, buffered, headerSize, limits)
 	if err != nil || len(buffered) < size {
 		fasthttp.ReleaseRequest(request)
-		return nil, 0, err
+		return nil, size, err
 	}
 	return request, size, nil
 }
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -161,6 +161,9 @@
 	if state.exchange != nil {
 		return s.whileServing(conn, state)
 	}
+	if arrived := conn.InboundBuffered(); arrived < state.need {
+		return s.awaitRest(conn, state, arrived)
+	}
 	buffered, err := conn.Peek(-1)
 	if err != nil || len(buffered) == 0 {
 		return gnet.None
@@ -170,12 +173,10 @@
 		return s.reject(conn, state, err)
 	}
 	if request == nil {
-		s.awaitRest(state)
-		if s.account(state, len(buffered)) {
-			return s.reject(conn, state, &ParseError{Status: fasthttp.StatusServiceUnavailable, Reason: "buffers_full"})
-		}
-		return gnet.None
+		state.need = size
+		return s.awaitRest(conn, state, len(buffered))
 	}
+	state.need = 0
 	s.account(state, 0)
 	_, _ = conn.Discard(size)
 	s.serve(conn, state, request)
@@ -196,10 +197,15 @@
 	return gnet.None
 }
 
-func (s *Server) awaitRest(state *connState) {
+// awaitRest waits for the rest of a request of which some bytes have arrived.
+func (s *Server) awaitRest(conn gnet.Conn, state *connState, arrived int) gnet.Action {
 	if state.phase.Swap(phasePartial) != phasePartial {
 		state.waitingSince.Store(time.Now().UnixNano())
 	}
+	if s.account(state, arrived) {
+		return s.reject(conn, state, &ParseError{Status: fasthttp.StatusServiceUnavailable, Reason: "buffers_full"})
+	}
+	return gnet.None
 }
 
 func (s *Server) serve(conn gnet.Conn, state *connState, request *fasthttp.Request) {
--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -12,6 +12,8 @@
 	exchange *Exchange
 	// buffered is what the connection adds to Server.buffered.
 	buffered int64
+	// need is the size of the request that has arrived in part, 0 if unknown.
+	need int
 	// waitingSince is when the current wait for the caller began, in Unix
 	// nanoseconds; 0 while a request is served.
 	waitingSince atomic.Int64
