Put the flags that benches share in one place

Weighed: flaggy's own lists of numbers don't split at commas, so bench/once keeps its small parser.

All benches use flaggy, as the binary does; single hyphens are taken as before.

--- a/bench/capacity/main.go
+++ b/bench/capacity/main.go
@@ -6,12 +6,12 @@
 package main
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/poplarwheel/poplarwheel/bench/internal/command"
 )
 
 type options struct {
@@ -37,23 +37,27 @@
 }
 
 func main() {
-	var o options
-	points := flag.String("points", "4:44:390,13:44:390,17:44:390,4:440:3900,13:440:3900,17:440:3900", "sizes, entries:services:targets each")
-	flag.StringVar(&o.binary, "binary", "bin/poplarwheel", "path of the poplarwheel binary")
-	flag.DurationVar(&o.window, "window", 10*time.Second, "length of each measurement")
-	flag.IntVar(&o.changes, "changes", 20, "changes of configuration for each point")
-	flag.Parse()
+	o := options{window: 10 * time.Second, changes: 20}
+	points := "4:44:390,13:44:390,17:44:390,4:440:3900,13:440:3900,17:440:3900"
+	c := command.New("capacity", "measure what control costs an entry daemon")
+	c.Binary(&o.binary)
+	c.String(&points, "", "points", "sizes, entries:services:targets each")
+	c.Duration(&o.window, "", "window", "length of each measurement")
+	c.Int(&o.changes, "", "changes", "changes of configuration for each point")
+	c.Run(func() error { return measureAll(o, points) })
+}
+
+func measureAll(o options, points string) error {
 	var err error
-	if o.points, err = parsePoints(*points); err != nil {
-		fmt.Fprintln(os.Stderr, "capacity:", err)
-		os.Exit(2)
+	if o.points, err = parsePoints(points); err != nil {
+		return &command.UsageError{Cause: err}
 	}
 	for _, p := range o.points {
 		if err := measure(o, p); err != nil {
-			fmt.Fprintln(os.Stderr, "capacity:", err)
-			os.Exit(1)
+			return err
 		}
 	}
+	return nil
 }
 
 func parsePoints(text string) ([]point, error) {
--- a/bench/dispatch/main.go
+++ b/bench/dispatch/main.go
@@ -6,11 +6,11 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/bench/internal/command"
 	"github.com/poplarwheel/poplarwheel/test/fleet"
 )
 
@@ -52,16 +52,13 @@
 func (e *UnknownRowsError) Error() string { return fmt.Sprintf("unknown rows %q", e.Rows) }
 
 func main() {
-	var o options
-	flag.StringVar(&o.binary, "binary", "bin/poplarwheel", "path of the poplarwheel binary")
-	flag.StringVar(&o.rows, "rows", rowsOverload, "what to measure: overload or faults")
-	flag.StringVar(&o.fault, "fault", "", "with -rows faults: measure this one only")
-	flag.DurationVar(&o.duration, "duration", 3*time.Second, "length of each row")
-	flag.Parse()
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "dispatch:", err)
-		os.Exit(1)
-	}
+	o := options{rows: rowsOverload, duration: 3 * time.Second}
+	c := command.New("dispatch", "measure how calls fare under overload and while a target fails")
+	c.Binary(&o.binary)
+	c.String(&o.rows, "", "rows", "what to measure: overload or faults")
+	c.String(&o.fault, "", "fault", "with --rows faults: measure this one only")
+	c.Duration(&o.duration, "", "duration", "length of each row")
+	c.Run(func() error { return run(o) })
 }
 
 func run(o options) error {
@@ -71,7 +68,7 @@
 	case rowsFaults:
 		return faults(o)
 	}
-	return &UnknownRowsError{Rows: o.rows}
+	return &command.UsageError{Cause: &UnknownRowsError{Rows: o.rows}}
 }
 
 // withFleet starts the processes for the time of a measurement.
--- a/bench/entryloss/main.go
+++ b/bench/entryloss/main.go
@@ -5,14 +5,13 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"path/filepath"
 	"time"
 
 	"github.com/google/uuid"
-	"github.com/integrii/flaggy"
 
+	"github.com/poplarwheel/poplarwheel/bench/internal/command"
 	"github.com/poplarwheel/poplarwheel/client"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/load"
@@ -35,18 +34,21 @@
 )
 
 func main() {
-	binary := "bin/poplarwheel"
-	seed := 1
-	flaggy.SetName("entryloss")
-	flaggy.String(&binary, "", "binary", "path of the poplarwheel binary (default bin/poplarwheel)")
-	flaggy.Int(&seed, "", "seed", "seed of the arrivals (default 1)")
-	flaggy.Parse()
+	var binary string
+	var seed int
+	c := command.New("entryloss", "measure what callers lose when an entry VM dies")
+	c.Binary(&binary)
+	c.Seed(&seed)
+	c.Run(func() error { return runAll(binary, uint64(seed)) })
+}
+
+func runAll(binary string, seed uint64) error {
 	for _, k := range []int{1, 2, 3, 5} {
-		if err := run(binary, k, uint64(seed)); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(1)
+		if err := run(binary, k, seed); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // run kills one of k entry VMs under load and prints what callers lost.
--- a/bench/latency/main.go
+++ b/bench/latency/main.go
@@ -5,12 +5,12 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/bench/internal/command"
 	"github.com/poplarwheel/poplarwheel/bench/internal/process"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
 	"github.com/poplarwheel/poplarwheel/test/fleet"
@@ -26,18 +26,15 @@
 }
 
 func main() {
-	var o options
-	flag.StringVar(&o.binary, "binary", "bin/poplarwheel", "path of the poplarwheel binary")
-	flag.IntVar(&o.rate, "rate", 2000, "calls a second on each of the two ways")
-	flag.DurationVar(&o.duration, "duration", 5*time.Second, "length of the run")
-	flag.IntVar(&o.loops, "event-loops", 2, "event loops of the entry daemon")
-	flag.IntVar(&o.workers, "connections", 50, "connections on each of the two ways")
-	flag.DurationVar(&o.distance, "distance", 500*time.Microsecond, "one way to the entry daemon of a second availability zone; 0 leaves it out")
-	flag.Parse()
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, "latency:", err)
-		os.Exit(1)
-	}
+	o := options{rate: 2000, duration: 5 * time.Second, loops: 2, workers: 50, distance: 500 * time.Microsecond}
+	c := command.New("latency", "measure what an entry daemon adds to a call")
+	c.Binary(&o.binary)
+	c.Int(&o.rate, "", "rate", "calls a second on each of the two ways")
+	c.Duration(&o.duration, "", "duration", "length of the run")
+	c.Int(&o.loops, "", "event-loops", "event loops of the entry daemon")
+	c.Int(&o.workers, "", "connections", "connections on each of the two ways")
+	c.Duration(&o.distance, "", "distance", "one way to the entry daemon of a second availability zone; 0 leaves it out")
+	c.Run(func() error { return run(o) })
 }
 
 func run(o options) error {
--- a/bench/once/main.go
+++ b/bench/once/main.go
@@ -6,11 +6,9 @@
 package main
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,6 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/poplarwheel/poplarwheel/bench/internal/command"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/logging"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
@@ -42,41 +41,49 @@
 	callers, maxKeys         int
 	rates, groups            []int
 	length                   time.Duration
-	seed                     uint64
+	seed                     int
 }
 
 func main() {
-	var o options
-	flag.IntVar(&o.daemons, "daemons", 13, "entry daemons")
-	flag.IntVar(&o.writes, "writes", 200, "platform writes a second for records")
-	flag.IntVar(&o.delayMs, "delay-ms", 2, "time the platform takes to answer, in milliseconds")
-	flag.DurationVar(&o.length, "length", 3*time.Second, "length of each run")
-	flag.Uint64Var(&o.seed, "seed", 1, "seed of the arrivals")
-	flag.IntVar(&o.callers, "callers", 200, "callers, each with a token of its own")
-	flag.IntVar(&o.maxKeys, "max-keys", 1024, "keys of a record object")
-	flag.Func("rates", "bookings a second, separated by commas", numbers(&o.rates))
-	flag.Func("groups", "grouping intervals in milliseconds, separated by commas", numbers(&o.groups))
-	o.rates, o.groups = []int{20, 200, 1000, 4000}, []int{0, 2, 5, 10}
-	flag.Parse()
-	if err := measureAll(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	o := options{daemons: 13, writes: 200, delayMs: 2, length: 3 * time.Second, callers: 200, maxKeys: 1024}
+	rates, groups := "20,200,1000,4000", "0,2,5,10"
+	c := command.New("once", "measure what at-most-once records cost a booking")
+	c.Seed(&o.seed)
+	c.Int(&o.daemons, "", "daemons", "entry daemons")
+	c.Int(&o.writes, "", "writes", "platform writes a second for records")
+	c.Int(&o.delayMs, "", "delay-ms", "time the platform takes to answer, in milliseconds")
+	c.Duration(&o.length, "", "length", "length of each run")
+	c.Int(&o.callers, "", "callers", "callers, each with a token of its own")
+	c.Int(&o.maxKeys, "", "max-keys", "keys of a record object")
+	c.String(&rates, "", "rates", "bookings a second, separated by commas")
+	c.String(&groups, "", "groups", "grouping intervals in milliseconds, separated by commas")
+	c.Run(func() error {
+		if err := o.parseLists(rates, groups); err != nil {
+			return &command.UsageError{Cause: err}
+		}
+		return measureAll(o)
+	})
+}
+
+func (o *options) parseLists(rates, groups string) (err error) {
+	if o.rates, err = numbers(rates); err != nil {
+		return err
 	}
+	o.groups, err = numbers(groups)
+	return err
 }
 
-// numbers returns a parser of lists of numbers.
-func numbers(list *[]int) func(string) error {
-	return func(text string) error {
-		*list = nil
-		for _, part := range strings.Split(text, ",") {
-			number, err := strconv.Atoi(part)
-			if err != nil {
-				return err
-			}
-			*list = append(*list, number)
+// numbers parses a list of numbers separated by commas.
+func numbers(text string) ([]int, error) {
+	var list []int
+	for part := range strings.SplitSeq(text, ",") {
+		number, err := strconv.Atoi(part)
+		if err != nil {
+			return nil, err
 		}
-		return nil
+		list = append(list, number)
 	}
+	return list, nil
 }
 
 func measureAll(o options) error {
@@ -153,7 +160,7 @@
 
 // offer sends bookings at random times and returns how many there were.
 func offer(o options, f *fleet, r *result, rate int) int {
-	rng := rand.New(rand.NewPCG(o.seed, 1))
+	rng := rand.New(rand.NewPCG(uint64(o.seed), 1))
 	tokens := make([]idempotency.Token, o.callers)
 	until := make([]time.Time, o.callers)
 	sent := 0
--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -8,10 +8,9 @@
 
 import (
 	"fmt"
-	"os"
 	"time"
 
-	"github.com/integrii/flaggy"
+	"github.com/poplarwheel/poplarwheel/bench/internal/command"
 )
 
 // options are the command's flags.
@@ -24,19 +23,14 @@
 }
 
 func main() {
-	o := options{seed: 1, rounds: 2, seconds: 1.2}
-	flaggy.SetName("policy")
-	flaggy.SetDescription("compare balancing policies on real entry daemons")
-	flaggy.Int(&o.seed, "", "seed", "seed of arrivals, service times and faults (default 1)")
-	flaggy.Int(&o.rounds, "", "rounds", "passes over the rows of a table; the results of a row are merged (default 2)")
-	flaggy.Float64(&o.seconds, "", "seconds", "measured time of a row and pass, in seconds (default 1.2)")
-	flaggy.Bool(&o.full, "", "full", "all tables instead of the short form")
-	flaggy.String(&o.only, "", "only", "run the table with this name alone")
-	flaggy.Parse()
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
+	o := options{rounds: 2, seconds: 1.2}
+	c := command.New("policy", "compare balancing policies on real entry daemons")
+	c.Seed(&o.seed)
+	c.Int(&o.rounds, "", "rounds", "passes over the rows of a table; the results of a row are merged")
+	c.Float64(&o.seconds, "", "seconds", "measured time of a row and pass, in seconds")
+	c.Bool(&o.full, "", "full", "all tables instead of the short form")
+	c.String(&o.only, "", "only", "run the table with this name alone")
+	c.Run(func() error { return run(o) })
 }
 
 func run(o options) error {
