Let a newcomer try the operators' steps on the demo

Weighed: printing everything was ruled out, since answers and settings don't fit on a terminal; a fixed token was ruled out, since a demo may be reachable by other users of the machine.

--- a/internal/cli/call.go
+++ b/internal/cli/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"time"
 
@@ -13,6 +14,7 @@
 // callCommand sends one request.
 type callCommand struct {
 	callerFlags
+	key       string
 	timeoutMs int
 	output    output
 }
@@ -24,8 +26,10 @@
 	sub.AdditionalHelpAppend = examples(
 		"call --entries 10.20.0.11:8080,10.20.0.12:8080 --service stock --type availability --path /availability",
 		"call --entries 10.20.0.11:8080 --service bookings --type book --once --body @booking.json",
+		"call --entries 10.20.0.11:8080 --service bookings --type book --key KEY --body @booking.json",
 	)
 	c.attach(sub)
+	sub.String(&c.key, "", "key", "idempotency key of an earlier call, to send it again")
 	sub.Int(&c.timeoutMs, "", "timeout-ms", "time for the answer in milliseconds")
 	c.output.jsonFlags(sub)
 	return sub
@@ -37,6 +41,7 @@
 	Status  int             `json:"status"`
 	Reason  string          `json:"reason,omitempty"`
 	Entry   string          `json:"entry"`
+	Key     string          `json:"key,omitempty"`
 	Body    json.RawMessage `json:"body"`
 }
 
@@ -50,12 +55,15 @@
 	}
 	request.Timeout = time.Duration(c.timeoutMs) * time.Millisecond
 	caller := c.caller(0)
-	if err := c.addKey(caller, &request); err != nil {
+	if err := c.setKey(caller, &request); err != nil {
 		return err
 	}
 	ctx, cancel := interrupted()
 	defer cancel()
 	answer, err := caller.DoContext(ctx, request)
+	if err != nil && request.Key != "" {
+		return &KeyedCallError{Key: request.Key, Cause: err}
+	}
 	if err != nil {
 		return err
 	}
@@ -64,6 +72,7 @@
 		Status:  answer.Status,
 		Reason:  answer.Reason,
 		Entry:   answer.Entry,
+		Key:     request.Key,
 		Body:    decodeAnswer(answer.Body),
 	}
 	return c.output.print(streams, reply, func(w io.Writer) {
@@ -71,6 +80,7 @@
 		row(w, "status", reply.Status)
 		row(w, "reason", reply.Reason)
 		row(w, "entry", reply.Entry)
+		row(w, "key", reply.Key)
 		row(w, "body", string(reply.Body))
 	})
 }
@@ -79,12 +89,37 @@
 	if err := c.callerFlags.check(); err != nil {
 		return err
 	}
+	if c.once && c.key != "" {
+		return &ExclusiveFlagsError{Flags: []string{"once", "key"}}
+	}
 	if c.timeoutMs <= 0 {
 		return &BadFlagError{Flag: "timeout-ms", Want: "above 0"}
 	}
 	return c.output.check()
 }
 
+// setKey gives the request a new key, or that of the call that is sent again.
+func (c *callCommand) setKey(caller *client.Client, request *client.Request) error {
+	if c.key == "" {
+		return c.addKey(caller, request)
+	}
+	request.Key = c.key
+	request.Resend = 1
+	return nil
+}
+
+// KeyedCallError reports a call with an idempotency key that had no answer.
+type KeyedCallError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements error.
+func (e *KeyedCallError) Error() string { return fmt.Sprintf("%v; idempotency key %s", e.Cause, e.Key) }
+
+// Unwrap returns the cause.
+func (e *KeyedCallError) Unwrap() error { return e.Cause }
+
 // decodeAnswer returns a JSON body as it is, and any other as a JSON string.
 func decodeAnswer(body []byte) json.RawMessage {
 	if json.Valid(body) {
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -15,6 +15,7 @@
 type demoCommand struct {
 	duration time.Duration
 	serve    bool
+	dir      string
 	json     bool
 	logLevel string
 	seed     int
@@ -32,9 +33,10 @@
 	c.seed = 1
 	sub := flaggy.NewSubcommand("demo")
 	sub.Description = "run two whole deployments on loopback and check every invariant"
-	sub.AdditionalHelpAppend = examples("demo", "demo --duration 60s --json > summary.json", "demo --serve")
-	sub.Duration(&c.duration, "d", "duration", "time over which requests are sent")
+	sub.AdditionalHelpAppend = examples("demo", "demo --duration 60s --json > summary.json", "demo --serve --duration 1h --dir /tmp/demo")
+	sub.Duration(&c.duration, "d", "duration", "time over which requests are sent and faults are spread")
 	sub.Bool(&c.serve, "", "serve", "go on until interrupted")
+	sub.String(&c.dir, "", "dir", "folder for files with which to try the operators' steps on a serving demo")
 	sub.Bool(&c.json, "", "json", "print the summary as JSON, and progress on standard error")
 	sub.String(&c.logLevel, "", "log-level", "level of the daemons' logs on standard error")
 	sub.Int(&c.seed, "", "seed", "seed of the arrivals and service times")
@@ -45,11 +47,14 @@
 	if c.duration <= 0 {
 		return &BadFlagError{Flag: "duration", Want: "above 0"}
 	}
+	if c.dir != "" && !c.serve {
+		return &BadFlagError{Flag: "dir", Want: "given with --serve only"}
+	}
 	log := logging.New(streams.Err, c.logLevel)
 	invariant.OnBreach(func(breach *invariant.BreachError) {
 		_, _ = fmt.Fprintln(streams.Err, breach)
 	})
-	options := demo.Options{Duration: c.duration, Serve: c.serve, Seed: uint64(c.seed), Progress: streams.Out, Log: log}
+	options := demo.Options{Duration: c.duration, Serve: c.serve, Dir: c.dir, Seed: uint64(c.seed), Progress: streams.Out, Log: log}
 	if c.json {
 		options.Progress = streams.Err
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -6,8 +6,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"io"
+	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +19,7 @@
 	"github.com/poplarwheel/poplarwheel/examples"
 	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/loopback"
+	"github.com/poplarwheel/poplarwheel/internal/settings"
 )
 
 // Options configure a demo.
@@ -24,6 +28,9 @@
 	Duration time.Duration
 	// Serve goes on sending requests after Duration, until the context ends.
 	Serve bool
+	// Dir is where files for trying the operators' steps are written, see
+	// writeHandout. Empty means none.
+	Dir string
 	// Seed seeds the arrivals and the targets' service times.
 	Seed uint64
 	// Progress receives one line for each event and each interval.
@@ -49,7 +56,9 @@
 
 // demo is one run.
 type demo struct {
-	options     Options
+	options Options
+	// token is the administrators' token of this run.
+	token       string
 	deployments []*deployment
 	started     time.Time
 	progressMu  sync.Mutex
@@ -58,13 +67,16 @@
 // Run runs a demo and returns its summary. The error is a *StartError or a
 // *NotInForceError; broken invariants are in the summary.
 func Run(ctx context.Context, options Options) (*Summary, error) {
-	d := &demo{options: options}
+	d := &demo{options: options, token: rand.Text()}
 	before := invariant.Breaches()
 	defer d.stop()
 	if err := d.start(); err != nil {
 		return nil, err
 	}
 	d.sayWhereToLook()
+	if err := d.handOut(); err != nil {
+		return nil, err
+	}
 	d.run(ctx)
 	agreed := d.waitAgreed()
 	d.stop()
@@ -79,7 +91,7 @@
 		if err != nil {
 			return &StartError{Part: "loopback addresses", Cause: err}
 		}
-		next, err := startDeployment(answers, subnet.Prefix, options)
+		next, err := startDeployment(answers, subnet.Prefix, d.token, options)
 		if next != nil {
 			d.deployments = append(d.deployments, next)
 		}
@@ -135,5 +147,26 @@
 		for _, entry := range deployment.entries {
 			d.say("  %s callers http://%s  admin http://%s/v1/dump", entry.settings.Name, entry.settings.CallerAddress(), entry.settings.AdminAddress())
 		}
+		if d.options.Serve {
+			d.say("  administration API %s", strings.Join(deployment.addresses((*settings.Settings).APIAddress), ","))
+		}
 	}
+	if d.options.Serve {
+		d.say("administrators' token, of this demo only: %s", d.token)
+	}
+}
+
+// handOut writes the files for trying the operators' steps.
+func (d *demo) handOut() error {
+	if d.options.Dir == "" {
+		return nil
+	}
+	for _, deployment := range d.deployments {
+		dir := filepath.Join(d.options.Dir, deployment.name)
+		if err := writeHandout(dir, deployment, d.token); err != nil {
+			return &StartError{Part: "folder " + dir, Cause: err}
+		}
+		d.say("to try the operators' steps with %s: cd %s && . ./env", deployment.name, dir)
+	}
+	return nil
 }
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -11,14 +13,36 @@
 	"github.com/poplarwheel/poplarwheel/client"
 	"github.com/poplarwheel/poplarwheel/internal/load"
 	"github.com/poplarwheel/poplarwheel/internal/logging"
+	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
+	"github.com/poplarwheel/poplarwheel/internal/settings"
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
 )
 
+// checkHandout checks the files for trying the operators' steps.
+func checkHandout(t *testing.T, dir string) {
+	t.Helper()
+	env, err := os.ReadFile(filepath.Join(dir, "env"))
+	require.NoError(t, err)
+	require.Regexp(t, `(?m)^export POPLARWHEEL_TOKEN=[A-Z2-7]{26}$`, string(env))
+	require.Regexp(t, `(?m)^export API=([0-9.]+:9091,){4}[0-9.]+:9091$`, string(env))
+	spare, err := os.ReadFile(filepath.Join(dir, "spare-2.json"))
+	require.NoError(t, err)
+	parsed, err := settings.Parse(spare)
+	require.NoError(t, err)
+	require.Equal(t, "lumenwalk-entry-7", parsed.Name)
+	answers, err := os.ReadFile(filepath.Join(dir, "answers.json"))
+	require.NoError(t, err)
+	_, err = questionnaire.Parse(answers)
+	require.NoError(t, err)
+}
+
 func TestShortDemoHolds(t *testing.T) {
 	var progress bytes.Buffer
+	dir := t.TempDir()
 	summary, err := Run(context.Background(), Options{
 		Duration: 6 * time.Second,
 		Seed:     1,
+		Dir:      dir,
 		Progress: &progress,
 		Log:      logging.Discard(),
 	})
@@ -28,6 +52,7 @@
 	require.Empty(t, summary.Broken, "%s\n%s", progress.String(), text.String())
 	require.NotZero(t, summary.Audit.Keys)
 	require.NotZero(t, summary.InForceMs)
+	checkHandout(t, filepath.Join(dir, "lumenwalk"))
 	for _, expected := range []string{"straggler", "leaves", "platform goes down", "admin http://", "answered correctly in time"} {
 		require.Contains(t, progress.String(), expected)
 	}
--- a/internal/demo/deployment.go
+++ b/internal/demo/deployment.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"strconv"
@@ -37,8 +39,11 @@
 
 // deployment is one user's platform, targets and entry VMs.
 type deployment struct {
-	name            string
-	region          string
+	name   string
+	region string
+	subnet string
+	// token is the administrators' token.
+	token           string
 	answers         *questionnaire.Answers
 	platform        *platformd.Server
 	platformAddress string
@@ -83,12 +88,12 @@
 
 // startDeployment starts a deployment. After an error, the parts that run are in
 // the returned deployment.
-func startDeployment(answers []byte, subnet string, options Options) (*deployment, error) {
+func startDeployment(answers []byte, subnet, token string, options Options) (*deployment, error) {
 	parsed, err := questionnaire.Parse(answers)
 	if err != nil {
 		return nil, &StartError{Part: "questionnaire", Cause: err}
 	}
-	d := &deployment{name: parsed.Team, region: parsed.Team, answers: parsed, platform: platformd.NewServer()}
+	d := &deployment{name: parsed.Team, region: parsed.Team, subnet: subnet, token: token, answers: parsed, platform: platformd.NewServer()}
 	d.platformAddress = address(subnet, platformHost, platformPort)
 	if err := serve(d.platformAddress, d.platform.Serve); err != nil {
 		return nil, &StartError{Part: "platform", Cause: err}
@@ -96,7 +101,7 @@
 	if err := d.startTargets(subnet, options.Seed); err != nil {
 		return d, err
 	}
-	d.startEntries(subnet, options)
+	d.startEntries(options)
 	d.revision, err = d.accept()
 	if err != nil {
 		return d, &StartError{Part: "configuration", Cause: err}
@@ -155,18 +160,26 @@
 	}
 }
 
-func (d *deployment) startEntries(subnet string, options Options) {
+// entrySettings returns the settings of entry VM i.
+func (d *deployment) entrySettings(i int) *settings.Settings {
 	zones := d.zones()
+	s := settings.Default()
+	s.Name = fmt.Sprintf("%s-entry-%d", d.name, i+1)
+	s.IP = d.subnet + strconv.Itoa(firstEntryHost+i)
+	s.Region = d.region
+	s.Zone = zones[i%len(zones)]
+	s.Platform = d.platformAddress
+	s.PeerKey = "key of the demo's entry daemons"
+	s.EventLoops = 1
+	s.KeepSeconds = keepSeconds
+	hash := sha256.Sum256([]byte(d.token))
+	s.APIAdminTokenSHA256 = hex.EncodeToString(hash[:])
+	return s
+}
+
+func (d *deployment) startEntries(options Options) {
 	for i := range entryCount {
-		s := settings.Default()
-		s.Name = fmt.Sprintf("%s-entry-%d", d.name, i+1)
-		s.IP = subnet + strconv.Itoa(firstEntryHost+i)
-		s.Region = d.region
-		s.Zone = zones[i%len(zones)]
-		s.Platform = d.platformAddress
-		s.PeerKey = "key of the demo's entry daemons"
-		s.EventLoops = 1
-		s.KeepSeconds = keepSeconds
+		s := d.entrySettings(i)
 		d.platform.Store().SetVM(entryState(s, platform.VMLive))
 		ctx, cancel := context.WithCancel(context.Background())
 		entry := &entryVM{settings: s, daemon: daemon.New(s, options.Log), cancel: cancel, done: make(chan error, 1)}
--- a/internal/demo/stream.go
+++ b/internal/demo/stream.go
@@ -9,6 +9,7 @@
 	"github.com/poplarwheel/poplarwheel/client"
 	"github.com/poplarwheel/poplarwheel/internal/load"
 	"github.com/poplarwheel/poplarwheel/internal/questionnaire"
+	"github.com/poplarwheel/poplarwheel/internal/settings"
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
 )
 
@@ -54,10 +55,13 @@
 }
 
 // bootstrap returns the caller addresses of all entry VMs.
-func (d *deployment) bootstrap() []string {
+func (d *deployment) bootstrap() []string { return d.addresses((*settings.Settings).CallerAddress) }
+
+// addresses returns one address of each entry VM.
+func (d *deployment) addresses(of func(*settings.Settings) string) []string {
 	addresses := make([]string, len(d.entries))
 	for i, entry := range d.entries {
-		addresses[i] = entry.settings.CallerAddress()
+		addresses[i] = of(entry.settings)
 	}
 	return addresses
 }
