Send an acceptance again when the API is busy

Cause: the API refuses with the code busy when it has too many requests under way, and says that nothing was changed.

Change: the client goes on to the next address and sends the acceptance again, within its time, also when no earlier send is in doubt.

--- a/internal/adminclient/accept.go
+++ b/internal/adminclient/accept.go
@@ -103,6 +103,10 @@
 		// The base was replaced, so no earlier send can take effect any more.
 		a.unsure = false
 		return true
+	case adminapi.CodeBusy:
+		// Nothing was changed; another daemon may have room.
+		a.client.advance()
+		return false
 	case adminapi.CodePlatform, adminapi.CodeRate, adminapi.CodeTooSlow:
 		return !a.unsure
 	}
--- a/internal/adminclient/client_test.go
+++ b/internal/adminclient/client_test.go
@@ -101,8 +101,9 @@
 func TestAcceptIsSentAgainUntilItsOutcomeIsKnown(t *testing.T) {
 	for name, c := range map[string]struct {
 		answers []answerFunc
-		sends   int
-		check   func(t *testing.T, revision uint64, err error)
+		// sends is the number of sends, or 0 if patience decides.
+		sends int
+		check func(t *testing.T, revision uint64, err error)
 	}{
 		"at once":          {[]answerFunc{accepted}, 1, succeeds},
 		"answer lost":      {[]answerFunc{lose, accepted}, 2, succeeds},
@@ -114,6 +115,9 @@
 		"lost, then platform away": {
 			[]answerFunc{lose, refuse(503, adminapi.CodePlatform), accepted}, 3, succeeds,
 		},
+		"busy":                {[]answerFunc{refuse(503, adminapi.CodeBusy), accepted}, 2, succeeds},
+		"lost, then busy":     {[]answerFunc{lose, refuse(503, adminapi.CodeBusy), accepted}, 3, succeeds},
+		"always busy":         {[]answerFunc{refuse(503, adminapi.CodeBusy)}, 0, failsWith(adminapi.CodeBusy)},
 		"stale":               {[]answerFunc{refuse(412, adminapi.CodeStale)}, 1, failsWith(adminapi.CodeStale)},
 		"lost, then stale":    {[]answerFunc{lose, refuse(412, adminapi.CodeStale)}, 2, failsWith(adminapi.CodeStale)},
 		"invalid":             {[]answerFunc{refuse(400, adminapi.CodeInvalid)}, 1, failsWith(adminapi.CodeInvalid)},
@@ -125,7 +129,9 @@
 			revision, err := newClient(server.address).Accept(&questionnaire.Proposal{Base: 7}, "")
 			c.check(t, revision, err)
 			sent := server.requests()
-			require.Len(t, sent, c.sends)
+			if c.sends > 0 {
+				require.Len(t, sent, c.sends)
+			}
 			for _, request := range sent {
 				require.NotEmpty(t, request.requestID)
 				require.Equal(t, seen{"POST", "/v1/acceptances", "Bearer secret", "ruth", `"7"`, sent[0].requestID}, request)
