Keep control characters of the API's answers off the terminal

Cause: the history and the lists print names that other operators chose, and a terminal obeys escape sequences in them.

Change: cells of text output have what isn't printable replaced; JSON escapes it anyway.

--- a/internal/cli/api_test.go
+++ b/internal/cli/api_test.go
@@ -56,7 +56,7 @@
 		"POST /v1/proposals":                     {200, questionnaire.Proposal{Base: 8, Changes: []questionnaire.Change{{Path: "stock", To: "x"}}}},
 		"POST /v1/acceptances":                   {201, adminapi.AcceptReply{Revision: 9}},
 		"GET /v1/configuration":                  {200, adminapi.Configuration{Revision: 9, AcceptedBy: "ruth", AcceptedAt: at, InForce: 8}},
-		"GET /v1/revisions":                      {200, adminapi.RevisionPage{Revisions: []adminapi.Revision{{Revision: 9, AcceptedBy: "ruth", AcceptedAt: at, Removed: []string{"old"}}}}},
+		"GET /v1/revisions":                      {200, adminapi.RevisionPage{Revisions: []adminapi.Revision{{Revision: 9, AcceptedBy: "ruth\x1b[2J", AcceptedAt: at, Removed: []string{"old"}}}}},
 		"GET /v1/services":                       {200, adminapi.ServicePage{Services: []adminapi.ServiceSummary{{Name: "stock", Team: "swanbrook", Revision: 9, Targets: 8}}}},
 		"GET /v1/services/stock":                 {200, config.Service{Name: "stock"}},
 		"GET /v1/targets":                        {200, adminapi.TargetPage{Targets: []proxy.TargetState{{Service: "stock", Name: "stock-1", State: "cold"}}}},
@@ -129,6 +129,7 @@
 			require.Equal(t, c.code, got.code, "stdout %s, stderr %s", got.stdout, got.stderr)
 			require.Contains(t, got.stdout, c.stdout)
 			require.Contains(t, got.stderr, c.stderr)
+			require.NotContains(t, got.stdout, "\x1b")
 			require.Equal(t, c.code == ExitOK, got.stderr == "", got.stderr)
 			if strings.HasSuffix(args, "--json") && got.stdout != "" {
 				require.True(t, json.Valid([]byte(got.stdout)), got.stdout)
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"unicode"
 
 	"github.com/integrii/flaggy"
 )
@@ -50,11 +51,20 @@
 	return w.Flush()
 }
 
+// printable replaces what could control a terminal, since cells hold names that
+// others chose.
+func printable(r rune) rune {
+	if unicode.IsPrint(r) {
+		return r
+	}
+	return unicode.ReplacementChar
+}
+
 // row writes one line of a table.
 func row(w io.Writer, cells ...any) {
 	texts := make([]string, len(cells))
 	for i, cell := range cells {
-		texts[i] = fmt.Sprint(cell)
+		texts[i] = strings.Map(printable, fmt.Sprint(cell))
 		if texts[i] == "" {
 			texts[i] = "-"
 		}
