--- a/internal/cli/services.go
+++ b/internal/cli/services.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/integrii/flaggy"
@@ -76,7 +77,7 @@
 	return c.output.print(streams, targets, func(w io.Writer) {
 		row(w, "SERVICE", "TARGET", "ZONE", "ADDRESS", "STATE", "REASON", "IN FLIGHT", "LATENCY MS")
 		for _, t := range targets {
-			row(w, t.Service, t.Name, t.Zone, t.Address, t.State, t.Reason, t.InFlight, t.LatencyMs)
+			row(w, t.Service, t.Name, t.Zone, t.Address, t.State, t.Reason, t.InFlight, fmt.Sprintf("%.1f", t.LatencyMs))
 		}
 	})
 }
--- a/internal/demo/timeline.go
+++ b/internal/demo/timeline.go
@@ -6,6 +6,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/load"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
+	"github.com/poplarwheel/poplarwheel/internal/rollout"
 	"github.com/poplarwheel/poplarwheel/internal/standin/platformd"
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
 )
@@ -165,7 +166,19 @@
 func (d *demo) waitAgreed() bool {
 	agreed := true
 	for _, deployment := range d.deployments {
-		agreed = deployment.inForce(settleTimeout) && agreed
+		agreed = deployment.learnAccepted() && deployment.inForce(settleTimeout) && agreed
 	}
 	return agreed
 }
+
+// learnAccepted takes over the revision that the platform holds, since operators may
+// have accepted others on a serving demo. It returns false if the platform doesn't
+// hold the demo's own revision or a later one.
+func (d *deployment) learnAccepted() bool {
+	head, _, err := rollout.ReadHead(platform.NewClient(d.platformAddress, platformTimeout))
+	if err != nil || head.Revision < d.revision {
+		return false
+	}
+	d.revision = head.Revision
+	return true
+}
