--- a/internal/admin/request_test.go
+++ b/internal/admin/request_test.go
@@ -135,8 +135,9 @@
 
 // One team holds all that it may; the others are served.
 func TestTeamWithManySlowRequestsLeavesOthersAlone(t *testing.T) {
+	t.Parallel()
 	_, store := startPlatform(t)
-	n := startNode(t, store)
+	n := startNodeReading(t, store, 5*time.Second)
 	ours, theirs := n.makeTeam("swanbrook", adminapi.Limits{}), n.makeTeam("lumenwalk", adminapi.Limits{})
 	for range maxRequestsUnderWay {
 		_, err := fmt.Fprintf(n.dial(), "POST %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n{", adminapi.PathCheck, ours)
@@ -150,13 +151,14 @@
 func TestBusyServerRefusesBodies(t *testing.T) {
 	_, store := startPlatform(t)
 	n := startNode(t, store)
-	for range bodiesUnderWay {
-		n.server.bodies <- struct{}{}
-	}
+	require.True(t, n.server.bodies.TryAcquire(bodyBytesUnderWay))
 	refused := n.do("POST", adminapi.PathCheck, adminToken, []byte("{}"), nil)
 	requireError(t, 503, adminapi.CodeBusy, refused)
 	require.NotEmpty(t, refused.wait)
 	require.Equal(t, 200, n.get(adminapi.PathServices, adminToken).status)
+	n.server.bodies.Release(minBodyBytes)
+	requireError(t, 400, adminapi.CodeInvalid, n.do("POST", adminapi.PathCheck, adminToken, []byte("{}"), nil))
+	requireError(t, 503, adminapi.CodeBusy, n.do("POST", adminapi.PathCheck, adminToken, make([]byte, minBodyBytes+1), nil))
 }
 
 func TestPages(t *testing.T) {
