--- a/bench/once/answers.go
+++ b/bench/once/answers.go
@@ -18,7 +18,7 @@
 }
 
 func newAnswers(o options) *answers {
-	return &answers{random: o.randomAnswers, rng: rand.New(rand.NewPCG(o.seed, 2))}
+	return &answers{random: o.randomAnswers, rng: rand.New(rand.NewPCG(uint64(o.seed), 2))}
 }
 
 // next returns an answer: random bytes, or the JSON of a booking.
