Don't send an attempt that was canceled before its start

Cause: a hedge is started by a timer and waits for its event loop. If its call ended meanwhile, the cancellation found nothing to cancel, and the attempt was sent over a ready connection and went on until its deadline. Ruled out: cancelling once the attempt is bound, which sends it first. Change: Start ends a canceled attempt at once, as not sent. TestAttemptCanceledBeforeItsStartIsNotSent waits without an end before (stopped after 40 s) and passes after. Requests of calls with several attempts are still left to the collector.

--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -85,9 +85,14 @@
 
 // Start sends a request and passes the whole answer to handler. The attempt is
 // lost at deadline, give or take a sweep. Start must be called on loop and once
-// an attempt; it keeps request until handler is called.
+// an attempt; it keeps request until handler is called. An attempt that is
+// canceled already ends at once, unsent.
 func (c *Client) Start(loop gnet.EventLoop, attempt *Attempt, deadline time.Time, request *fasthttp.Request, handler Handler) {
 	e := attempt.bind(loop, exchange{attempt: attempt, request: request, deadline: deadline, handler: handler})
+	if attempt.isCanceled() {
+		e.finish(nil, &NotSentError{Cause: ErrCanceled})
+		return
+	}
 	p := c.pool(loop, attempt.Address.HostPort)
 	if conn := p.take(); conn != nil {
 		conn.send(e)
--- a/internal/targetclient/client_test.go
+++ b/internal/targetclient/client_test.go
@@ -186,6 +186,23 @@
 	require.Eventually(t, func() bool { return openTo(client, Address{HostPort: address}) == 0 }, patience, time.Millisecond)
 }
 
+func TestAttemptCanceledBeforeItsStartIsNotSent(t *testing.T) {
+	answer := make(chan struct{})
+	close(answer)
+	address, _ := answerLater(t, answer)
+	client := New()
+	loop := loopOf(t)
+	require.NoError(t, do(loop, client, &Attempt{Address: Address{HostPort: address}}, fasthttp.MethodGet))
+	require.Equal(t, int64(1), openTo(client, Address{HostPort: address}), "a connection is ready")
+	canceled := &Attempt{Address: Address{HostPort: address}}
+	canceled.Cancel()
+	err := do(loop, client, canceled, fasthttp.MethodGet)
+	var notSent *NotSentError
+	require.ErrorAs(t, err, &notSent)
+	require.ErrorIs(t, err, ErrCanceled)
+	require.Equal(t, int64(1), openTo(client, Address{HostPort: address}))
+}
+
 func openTo(client *Client, address Address) int64 {
 	open, ok := client.open.Load(address.HostPort)
 	if !ok {
