--- a/internal/cli/exit.go
+++ b/internal/cli/exit.go
@@ -145,9 +145,6 @@
 
 // reportChanges prints what others accepted since the base of a refused change.
 func reportChanges(streams Streams, refused *adminapi.Error) {
-	if refused.Current > 0 {
-		_, _ = fmt.Fprintf(streams.Err, "  revision %d is in force\n", refused.Current)
-	}
 	for _, change := range refused.Changes {
 		verb := "changed"
 		if change.Removed {
