Add a time scale to the policy comparison

The constants of the daemons stay: fade of answers (100 ms) and reports (50 ms), ejections (1 s and more), rests (1 s at most), checks (1 s).

--- a/bench/policy/faults.go
+++ b/bench/policy/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/standin/targetd"
@@ -18,8 +19,8 @@
 	always targetd.Faults
 	// reportLag is the age of load reports.
 	reportLag time.Duration
-	// drain lets the first target leave for good during the row.
-	drain bool
+	// drainAfter is when the first target leaves for good; 0 is never.
+	drainAfter time.Duration
 	// zoneGone silences all targets of one availability zone from the start.
 	zoneGone bool
 }
@@ -57,7 +58,7 @@
 	failFast = faults{name: "fail-fast", noise: neighbours, script: []step{{targetd.Faults{FailFast: true}, half}, {targetd.Faults{}, half}}}
 	lying    = faults{name: "lying-stragglers", noise: neighbours, script: []step{{targetd.Faults{SlowFactor: stragglerFactor, LieIdle: true}, half}, {targetd.Faults{}, half}}}
 	lagging  = faults{name: "lagging-reports", noise: neighbours, script: stragglers, reportLag: lag}
-	drains   = faults{name: "drain+cold-start", noise: neighbours, drain: true, script: []step{
+	drains   = faults{name: "drain+cold-start", noise: neighbours, drainAfter: drainAfter, script: []step{
 		{targetd.Faults{SlowFactor: coldFactor}, 300 * time.Millisecond},
 		{targetd.Faults{}, 700 * time.Millisecond},
 	}}
@@ -65,6 +66,19 @@
 	zoneLost = faults{name: "zone-gone", noise: neighbours, zoneGone: true}
 )
 
+// slowed multiplies every duration of the faults.
+func (f faults) slowed(scale time.Duration) faults {
+	f.noise.Every *= scale
+	f.noise.For *= scale
+	f.reportLag *= scale
+	f.drainAfter *= scale
+	f.script = slices.Clone(f.script)
+	for i := range f.script {
+		f.script[i].length *= scale
+	}
+	return f
+}
+
 // capacityShare returns the part of the nominal capacity of n targets that noise
 // and the script leave.
 func (f faults) capacityShare(n int) float64 {
@@ -76,7 +90,7 @@
 	if len(f.script) > 0 {
 		share *= 1 - (1-f.scriptShare())/float64(n)
 	}
-	if f.drain {
+	if f.drainAfter > 0 {
 		share *= 1 - 1/float64(n)
 	}
 	return share
@@ -110,8 +124,8 @@
 		faults.Mute = f.zoneGone && zone(i) == zone(0)
 		target.SetFaults(faults)
 	}
-	if f.drain {
-		leave := time.AfterFunc(drainAfter, func() { targets[0].SetFaults(targetd.Faults{Leaving: true}) })
+	if f.drainAfter > 0 {
+		leave := time.AfterFunc(f.drainAfter, func() { targets[0].SetFaults(targetd.Faults{Leaving: true}) })
 		defer leave.Stop()
 		targets = targets[1:]
 	}
--- a/bench/policy/fleet.go
+++ b/bench/policy/fleet.go
@@ -27,8 +27,6 @@
 	requestType = "query"
 	// settleLimit bounds the wait for the daemons.
 	settleLimit = 20 * time.Second
-	// warmUp is the part of a row that isn't measured.
-	warmUp = 400 * time.Millisecond
 	// maxLag is the lateness of the generator, at the 99.9th percentile, above
 	// which a pass is run again.
 	maxLag = 10 * time.Millisecond
@@ -158,7 +156,7 @@
 			Name:           name,
 			Slots:          slots,
 			MaxConnections: f.deployment.maxConnections,
-			MeanService:    meanService,
+			MeanService:    r.times.service,
 			Noise:          r.faults.noise,
 			ReportLag:      r.faults.reportLag,
 			Seed:           seed*1000 + uint64(i),
@@ -188,14 +186,14 @@
 		Groups:          []config.TargetGroup{group},
 		RequestTypes: []config.RequestType{{
 			Name:         requestType,
-			DeadlineMs:   int(deadline.Milliseconds()),
+			DeadlineMs:   int(r.times.deadline.Milliseconds()),
 			Idempotent:   true,
 			MaxAttempts:  3,
 			PlatformDown: config.OutageServe,
 		}},
 	}
 	if r.queue {
-		s.RequestTypes[0].QueueMs = int(queueLimit.Milliseconds())
+		s.RequestTypes[0].QueueMs = int(r.times.queueLimit.Milliseconds())
 	}
 	if r.hedgeAfter > 0 {
 		s.HedgeShare = hedgeShare
@@ -206,7 +204,7 @@
 
 // rate is the number of calls a second that load the targets as the row asks.
 func rate(size size, r row) float64 {
-	nominal := float64(size.targets*slots) / meanService.Seconds()
+	nominal := float64(size.targets*slots) / r.times.service.Seconds()
 	return nominal * r.faults.capacityShare(size.targets) * r.load
 }
 
@@ -252,11 +250,11 @@
 // load sends the calls of a row and counts what they cost.
 func (f *fleet) load(services []*service, r row, seed uint64, duration time.Duration) result {
 	stop := make(chan struct{})
-	results := newTally()
+	results := newTally(r.times.deadline)
 	cpu := cpuTime()
 	before := f.measuring()
 	start := time.Now().Add(10 * time.Millisecond)
-	record := start.Add(warmUp)
+	record := start.Add(r.times.warmUp)
 	var running sync.WaitGroup
 	var sent []*generator
 	for i, s := range services {
--- a/bench/policy/load.go
+++ b/bench/policy/load.go
@@ -20,6 +20,8 @@
 
 // tally collects the results of calls.
 type tally struct {
+	// deadline is the agreed time of the calls.
+	deadline  time.Duration
 	mu        sync.Mutex
 	latencies *hdrhistogram.Histogram
 	// lags are the times by which the generator was late itself.
@@ -28,8 +30,9 @@
 	inTime uint64
 }
 
-func newTally() *tally {
+func newTally(deadline time.Duration) *tally {
 	return &tally{
+		deadline:  deadline,
 		latencies: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
 		lags:      hdrhistogram.New(1, maxLatency.Microseconds(), 3),
 	}
@@ -46,11 +49,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls++
-	if correct && latency <= deadline {
+	if correct && latency <= t.deadline {
 		t.inTime++
 	}
 	if !correct {
-		latency = max(latency, deadline)
+		latency = max(latency, t.deadline)
 	}
 	_ = t.latencies.RecordValue(min(latency, maxLatency).Microseconds())
 }
@@ -101,7 +104,7 @@
 		Type:    requestType,
 		Path:    "/call",
 		Body:    []byte(g.service + strconv.Itoa(number)),
-		Timeout: deadline,
+		Timeout: g.tally.deadline,
 	})
 	if counted {
 		correct := err == nil && answer.Outcome == client.Ran && answer.Status == 200
--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -21,17 +21,20 @@
 	seconds float64
 	full    bool
 	only    string
+	// slow multiplies every duration of a row.
+	slow int
 }
 
 func main() {
-	o := options{seed: 1, rounds: 2, seconds: 1.2}
+	o := options{seed: 1, rounds: 2, seconds: 1.2, slow: 1}
 	flaggy.SetName("policy")
 	flaggy.SetDescription("compare balancing policies on real entry daemons")
 	flaggy.Int(&o.seed, "", "seed", "seed of arrivals, service times and faults (default 1)")
 	flaggy.Int(&o.rounds, "", "rounds", "passes over the rows of a table; the results of a row are merged (default 2)")
-	flaggy.Float64(&o.seconds, "", "seconds", "measured time of a row and pass, in seconds (default 1.2)")
+	flaggy.Float64(&o.seconds, "", "seconds", "measured time of a row and pass, in seconds, before --slow (default 1.2)")
 	flaggy.Bool(&o.full, "", "full", "all tables instead of the short form")
 	flaggy.String(&o.only, "", "only", "run the table with this name alone")
+	flaggy.Int(&o.slow, "", "slow", "multiplies all durations of the rows, which divides their rate of calls (default 1)")
 	flaggy.Parse()
 	if err := run(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -42,14 +45,19 @@
 func run(o options) error {
 	began := time.Now()
 	for _, table := range tables(o) {
-		if err := runTable(o, table); err != nil {
+		if err := runTable(o, table.slowed(o.slow)); err != nil {
 			return err
 		}
 	}
-	fmt.Printf("elapsed_s=%.1f seed=%d date=%s\n", time.Since(began).Seconds(), o.seed, began.Format(time.DateOnly))
+	fmt.Printf("elapsed_s=%.1f seed=%d slow=%d date=%s\n", time.Since(began).Seconds(), o.seed, o.slow, began.Format(time.DateOnly))
 	return nil
 }
 
+// measured is the measured time of a row and pass.
+func (o options) measured() time.Duration {
+	return time.Duration(o.seconds * float64(o.slow) * float64(time.Second))
+}
+
 // runTable measures the rows of a table in turn, round by round, so that
 // neighbours on the host disturb all rows alike.
 func runTable(o options, table table) error {
@@ -61,7 +69,7 @@
 	results := make([]result, len(table.rows))
 	for round := range o.rounds {
 		for i, row := range table.rows {
-			measured, err := fleet.measureQuiet(row, uint64(o.seed+round), time.Duration(o.seconds*float64(time.Second)))
+			measured, err := fleet.measureQuiet(row, uint64(o.seed+round), o.measured())
 			if err != nil {
 				return err
 			}
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -21,6 +21,8 @@
 	hedgeAfter = 20 * time.Millisecond
 	// queueLimit bounds the wait for a free slot.
 	queueLimit = 200 * time.Millisecond
+	// warmUp is the part of a row that isn't measured.
+	warmUp = 400 * time.Millisecond
 	// hedgeShare limits hedges to this share of calls.
 	hedgeShare = 0.05
 	// retryShare limits retries to this share of calls.
@@ -64,6 +66,44 @@
 	// probes per call.
 	probes float64
 	faults faults
+	times  times
+}
+
+// times are the durations of a row's calls.
+type times struct {
+	// service is the mean service time of the targets without noise.
+	service time.Duration
+	// deadline is the agreed time of every call.
+	deadline time.Duration
+	// queueLimit bounds the wait for a free slot.
+	queueLimit time.Duration
+	// warmUp is the part of the row that isn't measured.
+	warmUp time.Duration
+}
+
+var usualTimes = times{service: meanService, deadline: deadline, queueLimit: queueLimit, warmUp: warmUp}
+
+// slowed multiplies every duration of the row, which divides its rate of calls.
+// The constants of the daemons, such as the length of an ejection, stay.
+func (r row) slowed(factor int) row {
+	scale := time.Duration(factor)
+	r.hedgeAfter *= scale
+	r.times.service *= scale
+	r.times.deadline *= scale
+	r.times.queueLimit *= scale
+	r.times.warmUp *= scale
+	r.faults = r.faults.slowed(scale)
+	return r
+}
+
+// slowed returns the table with the durations of its rows multiplied.
+func (t table) slowed(factor int) table {
+	rows := make([]row, 0, len(t.rows))
+	for _, r := range t.rows {
+		rows = append(rows, r.slowed(factor))
+	}
+	t.rows = rows
+	return t
 }
 
 // table is a group of rows that are compared with one another.
@@ -82,6 +122,7 @@
 		{name: "sizes", deployment: routes, rows: sizeRows()},
 		{name: "hedges", deployment: routes, rows: hedgeRows()},
 		{name: "faults", deployment: stock, rows: faultRows()},
+		{name: "quiet", deployment: routes, rows: quietRows()},
 		{name: "lumenwalk", deployment: lumenwalk, rows: deploymentRows()},
 		{name: "swanbrook", deployment: swanbrook, rows: deploymentRows()},
 	}
@@ -97,7 +138,7 @@
 }
 
 func usualRow(policy string, hedge time.Duration) row {
-	return row{policy: policy, hedgeAfter: hedge, load: usualLoad, k: usualSize, faults: usual}
+	return row{policy: policy, hedgeAfter: hedge, load: usualLoad, k: usualSize, faults: usual, times: usualTimes}
 }
 
 // chosen is what the questionnaire proposes for idempotent requests.
@@ -185,6 +226,20 @@
 	return rows
 }
 
+// quietRows have no faults: with --slow their latencies grow by the factor unless
+// the host disturbs them.
+func quietRows() []row {
+	rows := []row{
+		usualRow(config.PolicyRandom, 0),
+		chosen,
+		usualRow(policyOracle, 0),
+	}
+	for i := range rows {
+		rows[i].faults = quiet
+	}
+	return rows
+}
+
 func deploymentRows() []row {
 	var rows []row
 	for _, load := range []float64{0.5, 0.8, 0.95} {
