--- a/internal/proxy/counts.go
+++ b/internal/proxy/counts.go
@@ -26,6 +26,8 @@
 	Attempts   AttemptCounts `json:"attempts"`
 	// InFlight is the number of attempts in flight.
 	InFlight int `json:"in_flight"`
+	// Waiting is the number of calls that wait for a free slot.
+	Waiting int `json:"waiting"`
 	// Targets is the number of configured targets.
 	Targets int `json:"targets"`
 	// Leaving is the number of targets known to be leaving.
@@ -52,6 +54,7 @@
 		RetryShare:      s.service.RetryShare,
 		HedgeShare:      s.service.HedgeShare,
 		Attempts:        s.attempts,
+		Waiting:         s.scheduler.Queued(),
 	}
 	for _, target := range s.scheduler.Targets() {
 		state.Targets++
