Let slow targets take calls that would wait longer

Cause: a straggler is ejected for 1 s and more, though it still does a quarter of its work; at 95 % there is nothing to spare, so calls waited beside its free slots until the queue refused them. Without a queue the calls piled up at the other targets instead and fewer were lost.

The first call in the queue now goes to a free target that is ejected for slowness alone once the last call in the queue is expected to wait longer than an answer takes there, at most one at a time from a daemon and only if it can be answered by its deadline: the threshold rule for queues with a slow server. Failing, unreachable, resting and unhealthy targets stay out.

TestSlowTargetTakesCallsThatWouldWaitLonger fails without the change.

--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -44,13 +44,18 @@
 // expectedWait estimates the wait of a new call from the calls ahead of it, the
 // recent service times and the attempts that may run at once.
 func (s *Scheduler) expectedWait(now time.Time, call *Call) time.Duration {
+	return s.waitBehind(now, s.queue.ahead(call.Caller))
+}
+
+// waitBehind estimates the time in which the given number of calls is started.
+func (s *Scheduler) waitBehind(now time.Time, calls int) time.Duration {
 	capacity := 0
 	for _, m := range s.targets.members {
 		if !m.Leaving {
 			capacity += m.limit(now)
 		}
 	}
-	return s.service.mean * time.Duration(s.queue.ahead(call.Caller)) / time.Duration(max(capacity, 1))
+	return s.service.mean * time.Duration(calls) / time.Duration(max(capacity, 1))
 }
 
 // drain starts waiting calls while targets have free slots.
@@ -58,6 +63,9 @@
 	for s.queue.length > 0 {
 		call := s.queue.next()
 		m := s.pick(now, call, true)
+		if m == nil {
+			m = s.pickSlow(now, call)
+		}
 		if m == nil {
 			s.refuseWithoutTarget()
 			return
--- a/internal/dispatch/queue_test.go
+++ b/internal/dispatch/queue_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/balancer"
 	"github.com/poplarwheel/poplarwheel/internal/config"
+	"github.com/poplarwheel/poplarwheel/internal/outlier"
 )
 
 const oneTargetLimit = 3 + slotHeadroom
@@ -139,3 +140,72 @@
 	}
 	require.Equal(t, []ActionKind{Reply, Start}, kinds(s.Finished(start, busy[3], Result{Kind: Answered, Load: balancer.Report{Known: true, InFlight: 20}})))
 }
+
+// ejectAsSlow makes the target's answers take the given time, against fast ones of
+// its peers, until it is ejected.
+func ejectAsSlow(t *testing.T, s *Scheduler, m *member, fast, slow time.Duration) {
+	t.Helper()
+	s.service.mean = fast
+	for range 20 {
+		for _, peer := range s.targets.members {
+			took := fast
+			if peer == m {
+				took = slow
+			}
+			m.group.live().Good(start, &peer.health, took)
+		}
+	}
+	require.True(t, m.health.MerelySlow(start))
+}
+
+func TestSlowTargetTakesCallsThatWouldWaitLonger(t *testing.T) {
+	const fast, slow = 10 * time.Millisecond, 45 * time.Millisecond
+	s := testScheduler(t, testService(2))
+	straggler := s.targets.members[0]
+	ejectAsSlow(t, s, straggler, fast, slow)
+	fill(t, s, oneTargetLimit)
+	require.Zero(t, straggler.InFlight)
+	waiting := 0
+	for id := uint64(1); straggler.InFlight == 0; id++ {
+		call := testCall(id, waitingRead(200))
+		call.Deadline = start.Add(250 * time.Millisecond)
+		s.Arrive(start, call)
+		waiting++
+		require.Less(t, waiting, 100, "a free slow target stays idle while calls wait")
+	}
+	perCall := fast / (2 * oneTargetLimit)
+	require.InDelta(t, float64(slow/perCall), waiting, 1, "the last call would wait as long as an answer takes")
+	require.Equal(t, slowLimit, straggler.InFlight)
+}
+
+func TestSlowTargetTakesNoCallThatWouldBeLate(t *testing.T) {
+	const fast, slow = 10 * time.Millisecond, 60 * time.Millisecond
+	s := testScheduler(t, testService(2))
+	straggler := s.targets.members[0]
+	ejectAsSlow(t, s, straggler, fast, slow)
+	fill(t, s, oneTargetLimit)
+	for id := range uint64(40) {
+		call := testCall(id, waitingRead(50))
+		call.Deadline = start.Add(slow)
+		s.Arrive(start, call)
+	}
+	require.Zero(t, straggler.InFlight)
+}
+
+func TestFailingTargetTakesNoWaitingCalls(t *testing.T) {
+	s := testScheduler(t, testService(3))
+	failing := s.targets.members[0]
+	s.service.mean = 10 * time.Millisecond
+	for range 5 {
+		failing.group.live().Failed(start, &failing.health, outlier.ServerError, time.Millisecond)
+	}
+	now := start.Add(100 * time.Millisecond)
+	require.True(t, failing.health.Ejected(now))
+	for id := range uint64(100) {
+		call := testCall(id, waitingRead(200))
+		call.Deadline = now.Add(250 * time.Millisecond)
+		s.Arrive(now, call)
+	}
+	require.Zero(t, failing.InFlight)
+	require.Positive(t, s.Queued())
+}
--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -118,6 +118,12 @@
 	return t.Ejected(now) || t.Resting(now) || t.Unhealthy()
 }
 
+// MerelySlow reports whether the target is out for its slowness alone: it is still
+// capacity, unlike one that fails.
+func (t *Target) MerelySlow(now time.Time) bool {
+	return t.Ejected(now) && t.reason == Slow && !t.Resting(now) && !t.Unhealthy()
+}
+
 // Cold reports whether the target is in slow start.
 func (t *Target) Cold() bool { return t.cold }
 
