Eject targets that leave two attempts in a row unanswered

A target that accepts requests and answers nothing was ejected after 5 unanswered attempts in a row; each holds a call for its whole agreed time, and each daemon paid them for each silent target, twice the slots at once, and 2 more whenever the ejection ended. 2 in a row eject it now, 1 if it is cold. The guard against failures that peers share and the bound of a third of the group hold as before.

Ruled out: a sign across an availability zone. It could only spare the first attempts of the second and third target of the zone, which leave together with those of the first.

--- a/internal/outlier/outlier.go
+++ b/internal/outlier/outlier.go
@@ -47,6 +47,11 @@
 	// unreachableRun is the number of consecutive refused connections that ejects
 	// a target.
 	unreachableRun = 2
+	// unansweredRun is the number of consecutive attempts without an answer that
+	// ejects a target: each of them has cost a call its whole time.
+	unansweredRun = 2
+	// coldUnansweredRun is the same for a cold target.
+	coldUnansweredRun = 1
 	// coldRun is the number of consecutive failures that ejects a cold target.
 	coldRun = 2
 	// failingShare is the share of failures that ejects a target, after
@@ -88,6 +93,8 @@
 	observations int
 	run          int
 	refusedRun   int
+	// unanswered counts consecutive attempts without an answer.
+	unanswered   int
 	latency      time.Duration
 	samples      int
 	ejections    int
@@ -176,6 +183,7 @@
 	g.observe(now, t, 0)
 	t.run = 0
 	t.refusedRun = 0
+	t.unanswered = 0
 	t.good++
 	t.sample(took)
 	g.judgeLatency(now, t)
@@ -197,14 +205,19 @@
 	g.observe(now, t, 1)
 	t.run++
 	t.rest(now, typical)
-	if failure == NoConnection {
-		t.refusedRun++
-	} else {
-		t.refusedRun = 0
-	}
+	t.refusedRun = continued(t.refusedRun, failure == NoConnection)
+	t.unanswered = continued(t.unanswered, failure == NoAnswer)
 	g.judgeFailures(now, t)
 }
 
+// continued returns the length of a run after another observation.
+func continued(run int, same bool) int {
+	if same {
+		return run + 1
+	}
+	return 0
+}
+
 // Shed takes a refusal because the target has no room. Typical is the service time
 // of a good answer.
 func (t *Target) Shed(now time.Time, typical time.Duration) {
@@ -239,6 +252,8 @@
 	case g.peersFail(t):
 	case t.run >= failingRun, t.cold && t.run >= coldRun:
 		g.eject(now, t, Failing)
+	case t.unanswered >= unansweredRun, t.cold && t.unanswered >= coldUnansweredRun:
+		g.eject(now, t, Failing)
 	case t.observations >= minObservations && t.failures > failingShare:
 		g.eject(now, t, Failing)
 	}
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -131,3 +131,22 @@
 	require.True(t, target.Cold())
 	require.Equal(t, 2, target.Limit(3))
 }
+
+func TestSilentTargetIsEjectedAfterTwoAttempts(t *testing.T) {
+	group := warmGroup(6)
+	target := group[0]
+	group.Failed(start, target, NoAnswer, typical)
+	require.False(t, target.Ejected(start))
+	group.Good(start, target, typical)
+	group.Failed(start, target, NoAnswer, typical)
+	require.False(t, target.Ejected(start), "an answer in between shows that it isn't silent")
+	group.Failed(start, target, NoAnswer, typical)
+	require.True(t, target.Ejected(start))
+	require.Equal(t, Failing, target.Reason())
+
+	now := start.Add(baseEjection)
+	target.Advance(now)
+	require.True(t, target.Cold())
+	group.Failed(now, target, NoAnswer, typical)
+	require.True(t, target.Ejected(now), "a cold target that is still silent costs one call")
+}
