Add uneven callers to the policy comparison

Callers spread their calls evenly in all rows so far. The table `uneven` has one caller that sends 50 or 80 % of all calls to one entry VM, so that this daemon's counts say much and the others' little.

--- a/bench/policy/fleet.go
+++ b/bench/policy/fleet.go
@@ -258,6 +258,7 @@
 	for i, s := range services {
 		go r.faults.disturb(s.targets, seed, stop)
 		g := newGenerator(s.config.Name, f.bootstrap(), rate(s.size, r), seed*100+uint64(i), results)
+		g.heavy = r.heavy
 		sent = append(sent, g)
 		running.Go(func() { g.run(start, record, record.Add(duration)) })
 	}
--- a/bench/policy/load.go
+++ b/bench/policy/load.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -89,6 +90,9 @@
 	pause   time.Duration
 	tally   *tally
 	calls   sync.WaitGroup
+	// heavy is the share of calls that go to one entry VM; uneven draws them.
+	heavy  float64
+	uneven *rand.Rand
 	// sent counts all calls.
 	sent uint64
 }
@@ -97,6 +101,7 @@
 	g := &generator{
 		service: service,
 		rng:     rand.New(rand.NewPCG(seed, 3)),
+		uneven:  rand.New(rand.NewPCG(seed, 5)),
 		pause:   time.Duration(float64(time.Second) / rate),
 		tally:   results,
 	}
@@ -115,15 +120,29 @@
 		g.tally.lag(time.Since(due))
 		g.calls.Add(1)
 		g.sent++
-		go g.call(g.callers[i%len(g.callers)], due, i, !due.Before(record))
+		send := g.callers[i%len(g.callers)].Do
+		if g.uneven.Float64() < g.heavy {
+			send = g.sendToFirst
+		}
+		go g.call(send, due, i, !due.Before(record))
 		due = due.Add(time.Duration(g.rng.ExpFloat64() * float64(g.pause)))
 	}
 	g.calls.Wait()
 }
 
-func (g *generator) call(caller *client.Client, due time.Time, number int, counted bool) {
+// sendToFirst sends a request of the heavy caller.
+func (g *generator) sendToFirst(request client.Request) (client.Answer, error) {
+	caller := g.callers[0]
+	entries, err := caller.Entries()
+	if err != nil {
+		return client.Answer{Outcome: client.NotRun}, err
+	}
+	return caller.DoAt(context.Background(), entries.Addresses[0], request)
+}
+
+func (g *generator) call(send func(client.Request) (client.Answer, error), due time.Time, number int, counted bool) {
 	defer g.calls.Done()
-	answer, err := caller.Do(client.Request{
+	answer, err := send(client.Request{
 		Type:    requestType,
 		Path:    "/call",
 		Body:    []byte(g.service + strconv.Itoa(number)),
--- a/bench/policy/table.go
+++ b/bench/policy/table.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -70,7 +71,10 @@
 	// probes per call.
 	probes float64
 	faults faults
-	times  times
+	// heavy is the share of calls that one caller sends to one entry VM; the others
+	// spread theirs evenly.
+	heavy float64
+	times times
 	// scale multiplies the pause between samples.
 	scale int
 }
@@ -142,6 +146,7 @@
 		{name: "hedges", deployment: routes, rows: hedgeRows()},
 		{name: "faults", deployment: stock, rows: faultRows()},
 		{name: "quiet", deployment: routes, rows: quietRows()},
+		{name: "uneven", deployment: routes, rows: unevenRows()},
 		{name: "lumenwalk", deployment: lumenwalk, rows: deploymentRows()},
 		{name: "swanbrook", deployment: swanbrook, rows: deploymentRows()},
 	}
@@ -259,6 +264,25 @@
 	return rows
 }
 
+// unevenRows have one caller that sends most of the calls to one entry VM.
+func unevenRows() []row {
+	var rows []row
+	for _, heavy := range []float64{0.5, 0.8} {
+		for _, r := range []row{
+			usualRow(config.PolicyRandom, 0),
+			usualRow(config.PolicyLeast, hedgeAfter).queued(),
+			usualRow(config.PolicyLeastReports, hedgeAfter).queued(),
+			chosen,
+			usualRow(policyOracle, 0),
+		} {
+			r.heavy = heavy
+			r.faults.name = fmt.Sprintf("uneven-%.0f%%", heavy*100)
+			rows = append(rows, r)
+		}
+	}
+	return rows
+}
+
 func deploymentRows() []row {
 	var rows []row
 	for _, load := range []float64{0.5, 0.8, 0.95} {
