--- a/bench/policy/load.go
+++ b/bench/policy/load.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -20,18 +21,24 @@
 
 // tally collects the results of calls.
 type tally struct {
+	// deadline is the agreed time of the calls.
+	deadline  time.Duration
 	mu        sync.Mutex
 	latencies *hdrhistogram.Histogram
 	// lags are the times by which the generator was late itself.
 	lags   *hdrhistogram.Histogram
 	calls  uint64
 	inTime uint64
+	// lost counts calls without a correct answer in time, by reason.
+	lost map[string]uint64
 }
 
-func newTally() *tally {
+func newTally(deadline time.Duration) *tally {
 	return &tally{
+		deadline:  deadline,
 		latencies: hdrhistogram.New(1, maxLatency.Microseconds(), 3),
 		lags:      hdrhistogram.New(1, maxLatency.Microseconds(), 3),
+		lost:      map[string]uint64{},
 	}
 }
 
@@ -42,15 +49,35 @@
 	_ = t.lags.RecordValue(max(late, 0).Microseconds())
 }
 
-func (t *tally) record(latency time.Duration, correct bool) {
+// reasonLate is the reason of a correct answer after the agreed time.
+const reasonLate = "late"
+
+// merge adds the results of another pass.
+func (t *tally) merge(other *tally) {
+	t.latencies.Merge(other.latencies)
+	t.lags.Merge(other.lags)
+	t.calls += other.calls
+	t.inTime += other.inTime
+	for reason, count := range other.lost {
+		t.lost[reason] += count
+	}
+}
+
+// record counts a call; reason is why it has no correct answer, if so.
+func (t *tally) record(latency time.Duration, correct bool, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.calls++
-	if correct && latency <= deadline {
+	switch {
+	case !correct:
+		t.lost[reason]++
+	case latency > t.deadline:
+		t.lost[reasonLate]++
+	default:
 		t.inTime++
 	}
 	if !correct {
-		latency = max(latency, deadline)
+		latency = max(latency, t.deadline)
 	}
 	_ = t.latencies.RecordValue(min(latency, maxLatency).Microseconds())
 }
@@ -63,6 +90,9 @@
 	pause   time.Duration
 	tally   *tally
 	calls   sync.WaitGroup
+	// heavy is the share of calls that go to one entry VM; uneven draws them.
+	heavy  float64
+	uneven *rand.Rand
 	// sent counts all calls.
 	sent uint64
 }
@@ -71,6 +101,7 @@
 	g := &generator{
 		service: service,
 		rng:     rand.New(rand.NewPCG(seed, 3)),
+		uneven:  rand.New(rand.NewPCG(seed, 5)),
 		pause:   time.Duration(float64(time.Second) / rate),
 		tally:   results,
 	}
@@ -89,22 +120,44 @@
 		g.tally.lag(time.Since(due))
 		g.calls.Add(1)
 		g.sent++
-		go g.call(g.callers[i%len(g.callers)], due, i, !due.Before(record))
+		send := g.callers[i%len(g.callers)].Do
+		if g.uneven.Float64() < g.heavy {
+			send = g.sendToFirst
+		}
+		go g.call(send, due, i, !due.Before(record))
 		due = due.Add(time.Duration(g.rng.ExpFloat64() * float64(g.pause)))
 	}
 	g.calls.Wait()
 }
 
-func (g *generator) call(caller *client.Client, due time.Time, number int, counted bool) {
+// sendToFirst sends a request of the heavy caller.
+func (g *generator) sendToFirst(request client.Request) (client.Answer, error) {
+	caller := g.callers[0]
+	entries, err := caller.Entries()
+	if err != nil {
+		return client.Answer{Outcome: client.NotRun}, err
+	}
+	return caller.DoAt(context.Background(), entries.Addresses[0], request)
+}
+
+func (g *generator) call(send func(client.Request) (client.Answer, error), due time.Time, number int, counted bool) {
 	defer g.calls.Done()
-	answer, err := caller.Do(client.Request{
+	answer, err := send(client.Request{
 		Type:    requestType,
 		Path:    "/call",
 		Body:    []byte(g.service + strconv.Itoa(number)),
-		Timeout: deadline,
+		Timeout: g.tally.deadline,
 	})
 	if counted {
 		correct := err == nil && answer.Outcome == client.Ran && answer.Status == 200
-		g.tally.record(time.Since(due), correct)
+		g.tally.record(time.Since(due), correct, lostReason(answer, err))
+	}
+}
+
+// lostReason says why a call has no correct answer.
+func lostReason(answer client.Answer, err error) string {
+	if err != nil {
+		return "connection"
 	}
+	return string(answer.Outcome) + ":" + answer.Reason
 }
--- a/internal/proxy/counts.go
+++ b/internal/proxy/counts.go
@@ -26,6 +26,8 @@
 	Attempts   AttemptCounts `json:"attempts"`
 	// InFlight is the number of attempts in flight.
 	InFlight int `json:"in_flight"`
+	// Waiting is the number of calls that wait for a free slot.
+	Waiting int `json:"waiting"`
 	// Targets is the number of configured targets.
 	Targets int `json:"targets"`
 	// Leaving is the number of targets known to be leaving.
@@ -58,6 +60,7 @@
 	if s.scheduler == nil {
 		return state
 	}
+	state.Waiting = s.scheduler.Queued()
 	for _, target := range s.scheduler.Targets() {
 		state.InFlight += target.InFlight
 		if target.Leaving {
