Name the quarantine's parts after what they do

No change of behaviour: go test ./internal/quarantine ./internal/dispatch ./internal/daemon and the quarantine tests of ./test/e2e pass.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,25 +33,25 @@
 
 // Daemon is one entry daemon.
 type Daemon struct {
-	settings    *settings.Settings
-	log         logrus.FieldLogger
-	incarnation string
-	store       platform.Store
-	follower    *rollout.Follower
-	proxy       *proxy.Proxy
-	callers     *callerserver.Server
-	admin       *fasthttp.Server
-	api         *admin.Server
-	peers       *peer.Server
-	peerClient  *peer.Client
-	snapshot    atomic.Pointer[config.Snapshot]
-	once        once
-	quarantine  *quarantine.Keeper
-	shelf       *shelfWriter
-	started     time.Time
-	stop        chan struct{}
-	members     *members
-	observed    observed
+	settings        *settings.Settings
+	log             logrus.FieldLogger
+	incarnation     string
+	store           platform.Store
+	follower        *rollout.Follower
+	proxy           *proxy.Proxy
+	callers         *callerserver.Server
+	admin           *fasthttp.Server
+	api             *admin.Server
+	peers           *peer.Server
+	peerClient      *peer.Client
+	snapshot        atomic.Pointer[config.Snapshot]
+	once            once
+	quarantine      *quarantine.Keeper
+	quarantineStore *quarantineStore
+	started         time.Time
+	stop            chan struct{}
+	members         *members
+	observed        observed
 	// targetsLeaving are the target VMs that the platform's list shows as leaving
 	// or gone.
 	targetsLeaving atomic.Pointer[map[string]bool]
@@ -164,8 +164,8 @@
 	go d.once.recorder.Run(d.stop)
 	go d.quarantine.Run(d.stop)
 	go d.learnSuspects()
-	go d.learnShelved()
-	go d.shelf.run()
+	go d.learnStored()
+	go d.quarantineStore.run()
 	d.log.WithField("callers", d.settings.CallerAddress()).WithField("admin", d.settings.AdminAddress()).WithField("api", d.settings.APIAddress()).Info("entry daemon started")
 	select {
 	case err = <-failed:
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -30,15 +30,15 @@
 type quarantinePeers struct {
 	daemon  *Daemon
 	telling chan struct{}
-	shelf   *shelfWriter
+	store   *quarantineStore
 }
 
 var _ quarantine.Peers = (*quarantinePeers)(nil)
 
 // startQuarantine sets up what watches for requests that crash targets.
 func (d *Daemon) startQuarantine() {
-	d.shelf = newShelfWriter(d)
-	d.quarantine = quarantine.NewKeeper(&quarantinePeers{daemon: d, telling: make(chan struct{}, maxTells), shelf: d.shelf})
+	d.quarantineStore = newQuarantineStore(d)
+	d.quarantine = quarantine.NewKeeper(&quarantinePeers{daemon: d, telling: make(chan struct{}, maxTells), store: d.quarantineStore})
 	d.proxy.SetQuarantine(d.quarantine)
 	d.peers.Register(peer.MethodSuspect, d.serveSuspect)
 	d.peers.Register(peer.MethodLift, d.serveLift)
@@ -59,7 +59,7 @@
 	log := p.daemon.log.WithField("content", uint64(suspect.Content)).WithField("service", suspect.Service).WithField("type", suspect.Type)
 	log.WithField("deaths", len(suspect.Deaths)).WithField("quarantined", suspect.Quarantined).Warn("target died while it ran a request")
 	if suspect.Quarantined {
-		p.shelf.change(quarantine.Change{Add: &suspect})
+		p.store.change(quarantine.Change{Add: &suspect})
 	}
 	select {
 	case p.telling <- struct{}{}:
@@ -141,7 +141,7 @@
 // LiftQuarantine forgets content on all entry daemons that answer.
 func (d *Daemon) LiftQuarantine(content quarantine.Content) adminapi.LiftReply {
 	reply := adminapi.LiftReply{Known: d.quarantine.Lift(content)}
-	d.shelf.change(quarantine.Change{Remove: content})
+	d.quarantineStore.change(quarantine.Change{Remove: content})
 	reply.Unreached = d.broadcast(liftLimit, peer.MethodLift, peer.Lift{Content: content})
 	d.log.WithField("content", uint64(content)).WithField("unreached", len(reply.Unreached)).Info("quarantine lifted")
 	return reply
--- a/internal/daemon/shelf.go
+++ b/internal/daemon/quarantinestore.go
@@ -7,25 +7,25 @@
 )
 
 const (
-	// shelfBacklog bounds the changes that wait to be written.
-	shelfBacklog = 64
-	// shelfPause is the pause between two writes, and after a failed one.
-	shelfPause = time.Second
+	// storeBacklog bounds the changes that wait to be written.
+	storeBacklog = 64
+	// storePause is the pause between two writes, and after a failed one.
+	storePause = time.Second
 )
 
-// shelfWriter keeps quarantined contents on the platform.
-type shelfWriter struct {
+// quarantineStore keeps quarantined contents on the platform.
+type quarantineStore struct {
 	daemon  *Daemon
 	changes chan quarantine.Change
 }
 
-func newShelfWriter(d *Daemon) *shelfWriter {
-	return &shelfWriter{daemon: d, changes: make(chan quarantine.Change, shelfBacklog)}
+func newQuarantineStore(d *Daemon) *quarantineStore {
+	return &quarantineStore{daemon: d, changes: make(chan quarantine.Change, storeBacklog)}
 }
 
 // change hands a change to the writer. It doesn't wait: with a full backlog the
 // change is logged and dropped.
-func (w *shelfWriter) change(change quarantine.Change) {
+func (w *quarantineStore) change(change quarantine.Change) {
 	select {
 	case w.changes <- change:
 	default:
@@ -34,7 +34,7 @@
 }
 
 // run writes changes until the daemon stops. Those of an outage are tried again.
-func (w *shelfWriter) run() {
+func (w *quarantineStore) run() {
 	var pending []quarantine.Change
 	for {
 		select {
@@ -45,36 +45,36 @@
 		}
 		for len(pending) > 0 && !w.daemon.stopping() {
 			pending = w.write(w.withBacklog(pending))
-			w.daemon.sleep(shelfPause)
+			w.daemon.sleep(storePause)
 		}
 	}
 }
 
 // withBacklog adds what has come meanwhile and keeps the newest changes.
-func (w *shelfWriter) withBacklog(pending []quarantine.Change) []quarantine.Change {
+func (w *quarantineStore) withBacklog(pending []quarantine.Change) []quarantine.Change {
 	for {
 		select {
 		case change := <-w.changes:
 			pending = append(pending, change)
 		default:
-			return pending[max(0, len(pending)-shelfBacklog):]
+			return pending[max(0, len(pending)-storeBacklog):]
 		}
 	}
 }
 
 // write returns the changes that are left.
-func (w *shelfWriter) write(changes []quarantine.Change) []quarantine.Change {
-	if err := quarantine.ChangeShelf(w.daemon.store, time.Now(), changes); err != nil {
+func (w *quarantineStore) write(changes []quarantine.Change) []quarantine.Change {
+	if err := quarantine.UpdateStored(w.daemon.store, time.Now(), changes); err != nil {
 		w.daemon.log.WithError(err).WithField("changes", len(changes)).Warn("quarantine not kept")
 		return changes
 	}
 	return nil
 }
 
-// learnShelved takes the kept contents, after a start.
-func (d *Daemon) learnShelved() {
+// learnStored takes the kept contents, after a start.
+func (d *Daemon) learnStored() {
 	for range suspectsAttempts {
-		suspects, err := quarantine.ReadShelf(d.store, time.Now())
+		suspects, err := quarantine.ReadStored(d.store, time.Now())
 		if err == nil {
 			d.quarantine.Told(time.Now(), suspects)
 			return
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -18,18 +18,18 @@
 	Lift(content Content)
 }
 
-// Keeper drives a Ward. It is safe for concurrent use.
+// Keeper drives a Tracker. It is safe for concurrent use.
 type Keeper struct {
 	peers    Peers
 	suspects atomic.Int64
 
-	mu   sync.Mutex
-	ward *Ward
+	mu      sync.Mutex
+	tracker *Tracker
 }
 
-// NewKeeper returns a keeper of an empty ward.
+// NewKeeper returns a keeper of an empty tracker.
 func NewKeeper(peers Peers) *Keeper {
-	return &Keeper{ward: NewWard(), peers: peers}
+	return &Keeper{tracker: NewTracker(), peers: peers}
 }
 
 // Active reports whether any content is suspected. It costs next to nothing.
@@ -39,7 +39,7 @@
 func (k *Keeper) Quarantined(now time.Time, content Content) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ward.Quarantined(now, content)
+	return k.tracker.Quarantined(now, content)
 }
 
 // Died takes the end of a request by the death of its target. Run.Resume is
@@ -47,7 +47,7 @@
 func (k *Keeper) Died(now time.Time, run *Run) {
 	var suspect Suspect
 	resumed := k.event(func() []Resumed {
-		told, resumed := k.ward.Died(now, run)
+		told, resumed := k.tracker.Died(now, run)
 		suspect = told
 		return resumed
 	})
@@ -58,7 +58,7 @@
 func (k *Keeper) Ended(now time.Time, content Content, answered bool) {
 	cleared := false
 	resumed := k.event(func() []Resumed {
-		was, resumed := k.ward.Ended(now, content, answered)
+		was, resumed := k.tracker.Ended(now, content, answered)
 		cleared = was
 		return resumed
 	})
@@ -70,14 +70,14 @@
 
 // Told takes suspects from another daemon.
 func (k *Keeper) Told(now time.Time, suspects []Suspect) {
-	resume(k.event(func() []Resumed { return k.ward.Told(now, suspects) }))
+	resume(k.event(func() []Resumed { return k.tracker.Told(now, suspects) }))
 }
 
 // Lift forgets content. It returns false if the content isn't known here.
 func (k *Keeper) Lift(content Content) bool {
 	known := false
 	k.event(func() []Resumed {
-		known = k.ward.Lift(content)
+		known = k.tracker.Lift(content)
 		return nil
 	})
 	return known
@@ -87,7 +87,7 @@
 func (k *Keeper) Suspects(now time.Time) []Suspect {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.ward.Suspects(now)
+	return k.tracker.Suspects(now)
 }
 
 // Run ends what has expired until stop is closed.
@@ -99,7 +99,7 @@
 		case <-stop:
 			return
 		case now := <-ticker.C:
-			resume(k.event(func() []Resumed { return k.ward.Expire(now) }))
+			resume(k.event(func() []Resumed { return k.tracker.Expire(now) }))
 		}
 	}
 }
@@ -108,7 +108,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	resumed := send()
-	k.suspects.Store(int64(len(k.ward.suspects)))
+	k.suspects.Store(int64(len(k.tracker.suspects)))
 	return resumed
 }
 
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,6 @@
 // Package quarantine stops requests that crash the targets which run them.
 //
-// Ward counts, for the content of each request, the targets that died while they
+// Tracker counts, for the content of each request, the targets that died while they
 // ran it. At a small limit the content is quarantined: it is not run until the
 // quarantine expires or an operator lifts it. Daemons tell one another of deaths
 // and lifts, so the limit holds for the whole system.
@@ -9,7 +9,7 @@
 // are run one after another, so that the next death names one of them. A suspect
 // that a target answers is cleared.
 //
-// Ward is a plain state machine. Events and time are passed in.
+// Tracker is a plain state machine. Events and time are passed in.
 package quarantine
 
 import (
@@ -29,7 +29,7 @@
 	groupTime = time.Second
 	// turnLimit bounds the time for which a suspect keeps others waiting.
 	turnLimit = 2 * time.Second
-	// maxSuspects bounds the content that a ward keeps.
+	// maxSuspects bounds the content that a tracker keeps.
 	maxSuspects = 4096
 )
 
@@ -129,9 +129,9 @@
 	Resume func(allowed bool)
 }
 
-// Ward is the quarantine as one daemon sees it. It is not safe for concurrent
+// Tracker is the quarantine as one daemon sees it. It is not safe for concurrent
 // use.
-type Ward struct {
+type Tracker struct {
 	suspects map[Content]*Suspect
 	groups   []*group
 }
@@ -148,17 +148,17 @@
 	waiting []*Run
 }
 
-// NewWard returns an empty ward.
-func NewWard() *Ward { return &Ward{suspects: map[Content]*Suspect{}} }
+// NewTracker returns an empty tracker.
+func NewTracker() *Tracker { return &Tracker{suspects: map[Content]*Suspect{}} }
 
 // Quarantined reports whether content must not be run.
-func (w *Ward) Quarantined(now time.Time, content Content) bool {
+func (w *Tracker) Quarantined(now time.Time, content Content) bool {
 	suspect := w.find(now, content)
 	return suspect != nil && w.condemns(suspect)
 }
 
 // condemns reports whether the deaths of a suspect can only be its own doing.
-func (w *Ward) condemns(suspect *Suspect) bool {
+func (w *Tracker) condemns(suspect *Suspect) bool {
 	deaths := suspect.independent()
 	if deaths != Limit {
 		return deaths > Limit
@@ -172,9 +172,9 @@
 }
 
 // Suspected reports whether content was at a target that died.
-func (w *Ward) Suspected(now time.Time, content Content) bool { return w.find(now, content) != nil }
+func (w *Tracker) Suspected(now time.Time, content Content) bool { return w.find(now, content) != nil }
 
-func (w *Ward) find(now time.Time, content Content) *Suspect {
+func (w *Tracker) find(now time.Time, content Content) *Suspect {
 	suspect := w.suspects[content]
 	if suspect != nil && now.Sub(suspect.newest()) >= Expiry {
 		delete(w.suspects, content)
@@ -185,7 +185,7 @@
 
 // Died takes the end of a request by the death of its target. It returns what to
 // tell other daemons, and the runs to resume.
-func (w *Ward) Died(now time.Time, run *Run) (Suspect, []Resumed) {
+func (w *Tracker) Died(now time.Time, run *Run) (Suspect, []Resumed) {
 	suspect := w.suspect(now, run)
 	suspect.add(Death{Target: run.Target, Began: run.Began, At: now})
 	var resumed []Resumed
@@ -205,7 +205,7 @@
 	Allowed bool
 }
 
-func (w *Ward) suspect(now time.Time, run *Run) *Suspect {
+func (w *Tracker) suspect(now time.Time, run *Run) *Suspect {
 	suspect := w.find(now, run.Content)
 	if suspect == nil {
 		w.makeRoom()
@@ -216,7 +216,7 @@
 }
 
 // makeRoom drops the suspect whose last death is the longest ago.
-func (w *Ward) makeRoom() {
+func (w *Tracker) makeRoom() {
 	if len(w.suspects) < maxSuspects {
 		return
 	}
@@ -229,7 +229,7 @@
 	delete(w.suspects, oldest.Content)
 }
 
-func (w *Ward) groupOf(now time.Time, target string) *group {
+func (w *Tracker) groupOf(now time.Time, target string) *group {
 	for _, g := range w.groups {
 		if g.target == target && now.Sub(g.at) < groupTime {
 			return g
@@ -242,7 +242,7 @@
 
 // next gives the turn to the next waiting content. Requests of the same content
 // take their turn together.
-func (w *Ward) next(now time.Time, g *group) []Resumed {
+func (w *Tracker) next(now time.Time, g *group) []Resumed {
 	if len(g.waiting) == 0 {
 		return nil
 	}
@@ -273,7 +273,7 @@
 
 // Ended takes the end of a request. Answered is set if a target answered it,
 // which clears its content. It returns whether it did, and the runs to resume.
-func (w *Ward) Ended(now time.Time, content Content, answered bool) (bool, []Resumed) {
+func (w *Tracker) Ended(now time.Time, content Content, answered bool) (bool, []Resumed) {
 	cleared := answered && w.Lift(content)
 	var resumed []Resumed
 	for _, g := range w.groups {
@@ -282,7 +282,7 @@
 	return cleared, resumed
 }
 
-func (w *Ward) endTurn(now time.Time, g *group, content Content) []Resumed {
+func (w *Tracker) endTurn(now time.Time, g *group, content Content) []Resumed {
 	if !g.taken || g.turn != content {
 		return nil
 	}
@@ -292,7 +292,7 @@
 
 // explain lets the requests go on that waited because they shared a death with
 // quarantined content.
-func (w *Ward) explain(content Content) []Resumed {
+func (w *Tracker) explain(content Content) []Resumed {
 	var resumed []Resumed
 	var left []*group
 	for _, g := range w.groups {
@@ -308,7 +308,7 @@
 	return resumed
 }
 
-func (w *Ward) copy(s *Suspect) Suspect {
+func (w *Tracker) copy(s *Suspect) Suspect {
 	copied := *s
 	copied.Deaths = append([]Death(nil), s.Deaths...)
 	copied.Quarantined = w.condemns(s)
@@ -316,7 +316,7 @@
 }
 
 // Told takes suspects from another daemon. Times are by this daemon's clock.
-func (w *Ward) Told(now time.Time, suspects []Suspect) []Resumed {
+func (w *Tracker) Told(now time.Time, suspects []Suspect) []Resumed {
 	var resumed []Resumed
 	for _, told := range suspects {
 		run := &Run{Content: told.Content, Service: told.Service, Type: told.Type}
@@ -336,14 +336,14 @@
 }
 
 // Lift forgets content. It returns false if the content isn't known.
-func (w *Ward) Lift(content Content) bool {
+func (w *Tracker) Lift(content Content) bool {
 	_, known := w.suspects[content]
 	delete(w.suspects, content)
 	return known
 }
 
 // Expire ends turns that take too long and forgets what has expired.
-func (w *Ward) Expire(now time.Time) []Resumed {
+func (w *Tracker) Expire(now time.Time) []Resumed {
 	var resumed []Resumed
 	var left []*group
 	for _, g := range w.groups {
@@ -363,7 +363,7 @@
 }
 
 // Suspects returns all suspects, the quarantined first.
-func (w *Ward) Suspects(now time.Time) []Suspect {
+func (w *Tracker) Suspects(now time.Time) []Suspect {
 	var suspects []Suspect
 	for content := range w.suspects {
 		if suspect := w.find(now, content); suspect != nil {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -14,7 +14,7 @@
 func after(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // died reports a death and returns the contents that may be tried again.
-func died(w *Ward, content Content, target string, began, at int) []Content {
+func died(w *Tracker, content Content, target string, began, at int) []Content {
 	_, resumed := w.Died(after(at), &Run{Content: content, Target: target, Began: after(began)})
 	return allowed(resumed)
 }
@@ -30,7 +30,7 @@
 }
 
 func TestSecondDeathQuarantinesUntilItExpires(t *testing.T) {
-	w := NewWard()
+	w := NewTracker()
 	require.Equal(t, []Content{1}, died(w, 1, "a", 0, 10))
 	require.Empty(t, died(w, 1, "b", 20, 30))
 	require.True(t, w.Quarantined(after(40), 1))
@@ -38,7 +38,7 @@
 }
 
 func TestOthersAtTheDeadTargetRunAgain(t *testing.T) {
-	w := NewWard()
+	w := NewTracker()
 	require.Equal(t, []Content{1}, died(w, 1, "a", 0, 10))
 	require.Empty(t, died(w, 2, "a", 0, 11), "content 2 waits until content 1 is explained")
 	require.Equal(t, []Content{2}, died(w, 1, "b", 20, 30))
@@ -47,7 +47,7 @@
 }
 
 func TestAnswerClearsAndPassesTheTurnOn(t *testing.T) {
-	w := NewWard()
+	w := NewTracker()
 	died(w, 2, "a", 0, 10)
 	died(w, 1, "a", 0, 11)
 	cleared, resumed := w.Ended(after(20), 2, true)
@@ -59,7 +59,7 @@
 }
 
 func TestTargetsThatDieTogetherCountOnce(t *testing.T) {
-	w := NewWard()
+	w := NewTracker()
 	for i := range 10 {
 		died(w, 1, fmt.Sprint("rack-", i), i, 20+i)
 	}
@@ -68,7 +68,7 @@
 
 // A target that is started again at once and dies again is a second death.
 func TestDeathsOfOneTargetAddUp(t *testing.T) {
-	w := NewWard()
+	w := NewTracker()
 	require.Equal(t, []Content{1}, died(w, 1, "a", 0, 10))
 	require.Empty(t, died(w, 1, "a", 500, 510))
 	require.True(t, w.Quarantined(after(520), 1))
@@ -76,14 +76,14 @@
 
 // A daemon that was frozen notices a death late.
 func TestOneDeathSeenLateCountsOnce(t *testing.T) {
-	w := NewWard()
+	w := NewTracker()
 	died(w, 1, "a", 0, 10)
 	died(w, 1, "a", 5, 3010)
 	require.False(t, w.Quarantined(after(3020), 1))
 }
 
 func TestDeathsOfTwoDaemonsAddUp(t *testing.T) {
-	first, second := NewWard(), NewWard()
+	first, second := NewTracker(), NewTracker()
 	told, _ := first.Died(after(10), &Run{Content: 1, Target: "a", Began: after(0)})
 	second.Told(after(12), []Suspect{told})
 	require.Empty(t, died(second, 1, "b", 20, 30))
@@ -102,7 +102,7 @@
 			s.step()
 		}
 		require.LessOrEqual(t, s.killed, Limit+1, "targets killed")
-		for _, w := range s.wards {
+		for _, w := range s.trackers {
 			for _, suspect := range w.Suspects(s.now) {
 				alone := suspect.Content == killer || len(suspect.Deaths) > Limit
 				require.True(t, !suspect.Quarantined || alone, "content %d is quarantined", suspect.Content)
@@ -116,26 +116,26 @@
 
 // shared is a set of targets shared by daemons that tell one another at once.
 type shared struct {
-	t       *rapid.T
-	now     time.Time
-	wards   []*Ward
-	running []*sharedRun
-	targets int
-	killed  int
-	next    Content
+	t        *rapid.T
+	now      time.Time
+	trackers []*Tracker
+	running  []*sharedRun
+	targets  int
+	killed   int
+	next     Content
 	// held counts the runs that wait for their turn, by content.
 	held map[Content]int
 }
 
 type sharedRun struct {
 	content Content
-	ward    int
+	tracker int
 	target  int
 	began   time.Time
 }
 
 func newShared(t *rapid.T) *shared {
-	return &shared{t: t, now: start, wards: []*Ward{NewWard(), NewWard()}, targets: 2, next: killer + 1, held: map[Content]int{}}
+	return &shared{t: t, now: start, trackers: []*Tracker{NewTracker(), NewTracker()}, targets: 2, next: killer + 1, held: map[Content]int{}}
 }
 
 func (s *shared) step() {
@@ -154,11 +154,11 @@
 }
 
 func (s *shared) send(content Content) {
-	ward := rapid.IntRange(0, len(s.wards)-1).Draw(s.t, "ward")
-	if s.isRunning(content) || s.wards[ward].Quarantined(s.now, content) {
+	tracker := rapid.IntRange(0, len(s.trackers)-1).Draw(s.t, "tracker")
+	if s.isRunning(content) || s.trackers[tracker].Quarantined(s.now, content) {
 		return
 	}
-	s.start(content, ward)
+	s.start(content, tracker)
 }
 
 func (s *shared) isRunning(content Content) bool {
@@ -170,9 +170,9 @@
 	return s.held[content] > 0
 }
 
-func (s *shared) start(content Content, ward int) {
+func (s *shared) start(content Content, tracker int) {
 	target := rapid.IntRange(0, s.targets-1).Draw(s.t, "target")
-	s.running = append(s.running, &sharedRun{content: content, ward: ward, target: target, began: s.now})
+	s.running = append(s.running, &sharedRun{content: content, tracker: tracker, target: target, began: s.now})
 }
 
 // answer ends a request that doesn't crash its target.
@@ -180,13 +180,13 @@
 	for i, run := range s.running {
 		if run.content != killer {
 			s.running = append(s.running[:i:i], s.running[i+1:]...)
-			cleared, resumed := s.wards[run.ward].Ended(s.now, run.content, true)
-			for _, other := range s.wards {
+			cleared, resumed := s.trackers[run.tracker].Ended(s.now, run.content, true)
+			for _, other := range s.trackers {
 				if cleared {
 					other.Lift(run.content)
 				}
 			}
-			s.resume(run.ward, resumed)
+			s.resume(run.tracker, resumed)
 			return
 		}
 	}
@@ -219,22 +219,22 @@
 	for _, run := range dead {
 		s.held[run.content]++
 		reported := &Run{Content: run.content, Target: fmt.Sprint(target), Began: run.began}
-		told, resumed := s.wards[run.ward].Died(s.now, reported)
-		for i, other := range s.wards {
-			if i != run.ward {
+		told, resumed := s.trackers[run.tracker].Died(s.now, reported)
+		for i, other := range s.trackers {
+			if i != run.tracker {
 				s.resume(i, other.Told(s.now, []Suspect{told}))
 			}
 		}
-		s.resume(run.ward, resumed)
+		s.resume(run.tracker, resumed)
 	}
 }
 
-func (s *shared) resume(ward int, resumed []Resumed) {
+func (s *shared) resume(tracker int, resumed []Resumed) {
 	for _, r := range resumed {
 		s.held[r.Run.Content]--
-		if r.Allowed && !s.wards[ward].Quarantined(s.now, r.Run.Content) {
+		if r.Allowed && !s.trackers[tracker].Quarantined(s.now, r.Run.Content) {
 			s.now = s.now.Add(time.Millisecond)
-			s.start(r.Run.Content, ward)
+			s.start(r.Run.Content, tracker)
 		}
 	}
 }
--- a/internal/quarantine/shelf.go
+++ b/internal/quarantine/stored.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// ShelfKey is the platform key of the object that keeps quarantined contents over
+	// StoredKey is the platform key of the object that keeps quarantined contents over
 	// a restart of all daemons.
-	ShelfKey = "quarantine/contents"
-	// maxShelved bounds the contents that are kept.
-	maxShelved = 256
-	// shelfTries bounds the conditional updates of one change.
-	shelfTries = 8
+	StoredKey = "quarantine/contents"
+	// maxStored bounds the contents that are kept.
+	maxStored = 256
+	// storedTries bounds the conditional updates of one change.
+	storedTries = 8
 )
 
 // Change is one change of the kept contents: exactly one field is set.
@@ -29,51 +29,51 @@
 	Remove Content
 }
 
-// ShelfError reports kept contents that can't be read.
-type ShelfError struct{ Cause error }
+// StoredError reports kept contents that can't be read.
+type StoredError struct{ Cause error }
 
 // Error implements error.
-func (e *ShelfError) Error() string { return fmt.Sprintf("quarantine: %s: %v", ShelfKey, e.Cause) }
+func (e *StoredError) Error() string { return fmt.Sprintf("quarantine: %s: %v", StoredKey, e.Cause) }
 
 // Unwrap returns the cause.
-func (e *ShelfError) Unwrap() error { return e.Cause }
+func (e *StoredError) Unwrap() error { return e.Cause }
 
-// shelf is the value of the object.
-type shelf struct {
+// stored is the value of the object.
+type stored struct {
 	Suspects []Suspect `json:"suspects"`
 }
 
-// ReadShelf returns the kept contents that haven't expired. Errors are *ShelfError
+// ReadStored returns the kept contents that haven't expired. Errors are *StoredError
 // and those of platform.Store; an object that doesn't exist is none.
-func ReadShelf(store platform.Store, now time.Time) ([]Suspect, error) {
-	kept, _, err := readShelf(store, now)
+func ReadStored(store platform.Store, now time.Time) ([]Suspect, error) {
+	kept, _, err := readStored(store, now)
 	return kept.Suspects, err
 }
 
-func readShelf(store platform.Store, now time.Time) (shelf, platform.Version, error) {
-	object, err := store.Get(ShelfKey)
+func readStored(store platform.Store, now time.Time) (stored, platform.Version, error) {
+	object, err := store.Get(StoredKey)
 	var missing *platform.NotFoundError
 	if errors.As(err, &missing) {
-		return shelf{}, 0, nil
+		return stored{}, 0, nil
 	}
 	if err != nil {
-		return shelf{}, 0, err
+		return stored{}, 0, err
 	}
-	var kept shelf
+	var kept stored
 	if err := json.Unmarshal(object.Value, &kept); err != nil {
-		return shelf{}, object.Version, &ShelfError{Cause: err}
+		return stored{}, object.Version, &StoredError{Cause: err}
 	}
 	kept.expire(now)
 	return kept, object.Version, nil
 }
 
-// ChangeShelf applies changes by a conditional update. Each change has the same
+// UpdateStored applies changes by a conditional update. Each change has the same
 // effect once or twice, so one whose answer was lost is simply applied again. An
 // object that can't be read is replaced. The error is one of platform.Store.
-func ChangeShelf(store platform.Store, now time.Time, changes []Change) error {
+func UpdateStored(store platform.Store, now time.Time, changes []Change) error {
 	var last error
-	for range shelfTries {
-		done, err := changeShelf(store, now, changes)
+	for range storedTries {
+		done, err := updateStored(store, now, changes)
 		if done {
 			return err
 		}
@@ -82,10 +82,10 @@
 	return last
 }
 
-// changeShelf tries once. It returns false if another try may succeed.
-func changeShelf(store platform.Store, now time.Time, changes []Change) (done bool, err error) {
-	kept, version, err := readShelf(store, now)
-	var unreadable *ShelfError
+// updateStored tries once. It returns false if another try may succeed.
+func updateStored(store platform.Store, now time.Time, changes []Change) (done bool, err error) {
+	kept, version, err := readStored(store, now)
+	var unreadable *StoredError
 	if err != nil && !errors.As(err, &unreadable) {
 		return true, err
 	}
@@ -102,16 +102,16 @@
 		return true, err
 	}
 	if version == 0 {
-		_, err = store.Create(ShelfKey, value)
+		_, err = store.Create(StoredKey, value)
 	} else {
-		_, err = store.Update(ShelfKey, version, value)
+		_, err = store.Update(StoredKey, version, value)
 	}
 	var conflict *platform.ConflictError
 	return !errors.As(err, &conflict), err
 }
 
 // apply changes the contents and reports whether that made a difference.
-func (s *shelf) apply(change Change) bool {
+func (s *stored) apply(change Change) bool {
 	if change.Add == nil {
 		before := len(s.Suspects)
 		s.Suspects = slices.DeleteFunc(s.Suspects, func(kept Suspect) bool { return kept.Content == change.Remove })
@@ -131,12 +131,12 @@
 }
 
 // expire drops what no longer counts.
-func (s *shelf) expire(now time.Time) {
+func (s *stored) expire(now time.Time) {
 	s.Suspects = slices.DeleteFunc(s.Suspects, func(kept Suspect) bool { return now.Sub(kept.newest()) >= Expiry })
 }
 
 // bound drops the contents with the oldest deaths.
-func (s *shelf) bound() {
+func (s *stored) bound() {
 	sort.Slice(s.Suspects, func(i, j int) bool { return s.Suspects[i].newest().After(s.Suspects[j].newest()) })
-	s.Suspects = s.Suspects[:min(len(s.Suspects), maxShelved)]
+	s.Suspects = s.Suspects[:min(len(s.Suspects), maxStored)]
 }
--- /dev/null
+++ b/internal/quarantine/stored_test.go
@@ -0,0 +1,120 @@
+package quarantine
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/poplarwheel/poplarwheel/internal/platform"
+)
+
+// objectStore is a platform with one object.
+type objectStore struct {
+	platform.Store
+	value   []byte
+	version platform.Version
+	// before runs before each write.
+	before func()
+	down   bool
+}
+
+func (s *objectStore) Get(key string) (platform.Object, error) {
+	if s.down {
+		return platform.Object{}, &platform.UnavailableError{Operation: "get", Key: key, Cause: errors.New("down")}
+	}
+	if s.version == 0 {
+		return platform.Object{}, &platform.NotFoundError{Key: key}
+	}
+	return platform.Object{Key: key, Value: s.value, Version: s.version}, nil
+}
+
+func (s *objectStore) Create(key string, value []byte) (platform.Version, error) {
+	return s.Update(key, 0, value)
+}
+
+func (s *objectStore) Update(key string, version platform.Version, value []byte) (platform.Version, error) {
+	if before := s.before; before != nil {
+		s.before = nil
+		before()
+	}
+	if version != s.version {
+		return 0, &platform.ConflictError{Key: key, Have: s.version}
+	}
+	s.value = value
+	s.version++
+	return s.version, nil
+}
+
+func killerOf(content Content, at int) Change {
+	deaths := []Death{{Target: "a", Began: after(at), At: after(at + 1)}, {Target: "b", Began: after(at + 2), At: after(at + 3)}}
+	return Change{Add: &Suspect{Content: content, Service: "stock", Type: "read", Deaths: deaths, Quarantined: true}}
+}
+
+func storedContents(t *testing.T, store platform.Store, now time.Time) []Content {
+	t.Helper()
+	suspects, err := ReadStored(store, now)
+	require.NoError(t, err)
+	var contents []Content
+	for _, suspect := range suspects {
+		contents = append(contents, suspect.Content)
+	}
+	return contents
+}
+
+func TestQuarantineOutlastsAllDaemons(t *testing.T) {
+	store := &objectStore{}
+	require.Empty(t, storedContents(t, store, start))
+	require.NoError(t, UpdateStored(store, start, []Change{killerOf(1, 0)}))
+	suspects, err := ReadStored(store, after(10))
+	require.NoError(t, err)
+	w := NewTracker()
+	w.Told(after(10), suspects)
+	require.True(t, w.Quarantined(after(10), 1))
+	require.Empty(t, storedContents(t, store, after(3).Add(Expiry)))
+}
+
+func TestRacingUpdatesBothCount(t *testing.T) {
+	store := &objectStore{}
+	store.before = func() { require.NoError(t, UpdateStored(store, start, []Change{killerOf(2, 0)})) }
+	require.NoError(t, UpdateStored(store, start, []Change{killerOf(1, 5)}))
+	require.ElementsMatch(t, []Content{1, 2}, storedContents(t, store, after(10)))
+	require.NoError(t, UpdateStored(store, start, []Change{{Remove: 1}}))
+	require.Equal(t, []Content{2}, storedContents(t, store, after(10)))
+}
+
+func TestChangeAppliedTwiceWritesOnce(t *testing.T) {
+	store := &objectStore{}
+	for range 2 {
+		require.NoError(t, UpdateStored(store, start, []Change{killerOf(1, 0), {Remove: 7}}))
+	}
+	require.Equal(t, platform.Version(1), store.version)
+}
+
+func TestStoredIsBoundedAndKeepsTheNewest(t *testing.T) {
+	store := &objectStore{}
+	var changes []Change
+	for i := range 2 * maxStored {
+		changes = append(changes, killerOf(Content(i+1), i))
+	}
+	require.NoError(t, UpdateStored(store, start, changes))
+	kept := storedContents(t, store, after(1))
+	require.Len(t, kept, maxStored)
+	require.Equal(t, Content(2*maxStored), kept[0])
+}
+
+func TestUnreadableObjectIsReplaced(t *testing.T) {
+	store := &objectStore{value: []byte("{"), version: 3}
+	var unreadable *StoredError
+	_, err := ReadStored(store, start)
+	require.ErrorAs(t, err, &unreadable, fmt.Sprint(err))
+	require.NoError(t, UpdateStored(store, start, []Change{killerOf(1, 0)}))
+	require.Equal(t, []Content{1}, storedContents(t, store, after(10)))
+}
+
+func TestUpdateReportsAnOutage(t *testing.T) {
+	var unavailable *platform.UnavailableError
+	require.ErrorAs(t, UpdateStored(&objectStore{down: true}, start, []Change{{Remove: 1}}), &unavailable)
+}
--- a/test/e2e/quarantine_test.go
+++ b/test/e2e/quarantine_test.go
@@ -135,7 +135,7 @@
 	c.check(0, "killer", true, 0)
 	store := platform.NewClient(c.Platform, time.Second)
 	require.NoError(t, system.Await("the platform to keep the quarantine", func() bool {
-		kept, err := quarantine.ReadShelf(store, time.Now())
+		kept, err := quarantine.ReadStored(store, time.Now())
 		return err == nil && len(kept) == 1
 	}))
 	for i := range entries {
