--- a/internal/admin/configuration.go
+++ b/internal/admin/configuration.go
@@ -102,7 +102,7 @@
 	for _, ref := range latest.Head.Services {
 		if c.who.sees(latest, ref.Name) {
 			service := latest.Bodies[ref.Name].Service
-			shown = append(shown, adminapi.ServiceSummary{Name: ref.Name, Team: service.Team, Revision: ref.Revision, Targets: countTargets(service)})
+			shown = append(shown, adminapi.ServiceSummary{Name: ref.Name, Team: service.Team, Revision: ref.Revision, Targets: service.TargetCount()})
 		}
 	}
 	page := adminapi.ServicePage{}
--- a/internal/admin/permission.go
+++ b/internal/admin/permission.go
@@ -80,15 +80,7 @@
 
 func (u *usage) add(service *config.Service) {
 	u.services++
-	u.targets += countTargets(service)
-}
-
-func countTargets(service *config.Service) int {
-	targets := 0
-	for _, group := range service.Groups {
-		targets += len(group.Targets)
-	}
-	return targets
+	u.targets += service.TargetCount()
 }
 
 // usageOf returns what a team has in a configuration.
