Deal places out among daemons while targets don't tell their load

Change: while targets are mute, all daemons deal the same places out alike, by zone and then by named daemon, and use others' only while most of their own are out. A target's speed is guessed from its last answer and from overdue requests; an overdue idempotent request is sent to another target within the budget; the expected work follows the median. The emulator plays mute targets.

--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"text/tabwriter"
 
 	"github.com/integrii/flaggy"
@@ -42,7 +43,7 @@
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "load\tpolicy\tin time\tserved\tworst windows\tp50 ms\tp99 ms\tprobes a request")
 	var rows []row
-	for _, load := range emulator.Loads() {
+	for _, load := range slices.Concat(emulator.Loads(), emulator.MuteLoads()) {
 		for _, policy := range emulator.Policies() {
 			r := play(load, policy, seeds)
 			rows = append(rows, r)
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -42,6 +42,8 @@
 	SlowFor               time.Duration
 	// KneeShare is the occupancy from which work takes KneeFactor times as long.
 	KneeShare, KneeFactor float64
+	// Mute targets don't tell their load, and a question for it waits for a slot.
+	Mute bool
 	// Near and Far are the times one way within an availability zone and between two.
 	Near, Far time.Duration
 	// Length is how long requests arrive.
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -53,3 +53,15 @@
 	placed, oracle := Play(load, Placement, 1).Total(), Play(load, Oracle, 1).Total()
 	require.Greater(t, placed.InTime, 3*oracle.InTime/2)
 }
+
+// Targets that don't tell their load are still used better than at random, above all in
+// the worst windows.
+func TestPlacementServesCallersOfMuteTargets(t *testing.T) {
+	for _, load := range MuteLoads() {
+		random, randomWorst, _ := mean(load, Random)
+		placed, worst, served := mean(load, Placement)
+		require.Greater(t, placed, random+0.05, load.Name)
+		require.Greater(t, worst, randomWorst+0.1, load.Name)
+		require.GreaterOrEqual(t, served, 0.97, load.Name)
+	}
+}
--- a/internal/emulator/loads.go
+++ b/internal/emulator/loads.go
@@ -51,3 +51,13 @@
 	routes.Timeout, routes.Patience = time.Second, 2*time.Second
 	return []Load{stock, stockHeavy, signs, routes}
 }
+
+// MuteLoads returns the same with targets that don't tell their load.
+func MuteLoads() []Load {
+	loads := Loads()
+	for i := range loads {
+		loads[i].Name += "-mute"
+		loads[i].Mute = true
+	}
+	return loads
+}
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -97,6 +97,12 @@
 	rng := rand.New(rand.NewPCG(w.rng.Uint64(), 2))
 	p := &placer{world: w, index: index, pool: placement.NewPool(rng, zoneName(index%w.load.Zones), budget)}
 	var entries []placement.Entry
+	var zones []string
+	for zone := range w.load.Zones {
+		zones = append(zones, zoneName(zone))
+	}
+	p.pool.SetZones(zones)
+	p.pool.SetPart(placement.Part{Index: index / w.load.Zones, Of: max(w.load.Daemons/w.load.Zones, 1)})
 	for i, t := range w.targets {
 		entries = append(entries, placement.Entry{
 			ID:      strconv.Itoa(i),
@@ -181,11 +187,26 @@
 	delay := w.delay(p.index, t)
 	w.result.Probes++
 	w.at(delay, func() {
+		if w.load.Mute {
+			p.probeMute(asked, t, delay)
+			return
+		}
 		report := t.report()
-		w.at(delay, func() { p.perform(p.pool.Probed(w.now, asked, &report, true)) })
+		w.at(delay, func() { p.perform(p.pool.Probed(w.now, asked, report, true)) })
 	})
 }
 
+// probeMute asks a target that answers like to any other request.
+func (p *placer) probeMute(asked *placement.Target, t *target, delay time.Duration) {
+	w := p.world
+	answer := func(healthy bool) {
+		w.at(delay, func() { p.perform(p.pool.Probed(w.now, asked, nil, healthy)) })
+	}
+	if !t.take(&run{remaining: time.Millisecond, ended: func() { answer(true) }}) {
+		answer(false)
+	}
+}
+
 func (p *placer) send(a *placement.Attempt) {
 	w := p.world
 	t := p.target(a.Target)
@@ -197,7 +218,7 @@
 		report := t.report()
 		w.at(delay, func() {
 			if !r.canceled {
-				p.perform(p.pool.Finished(w.now, a, placement.Result{Outcome: outcome, Report: &report}))
+				p.perform(p.pool.Finished(w.now, a, placement.Result{Outcome: outcome, Report: report}))
 			}
 		})
 	}
--- a/internal/emulator/target.go
+++ b/internal/emulator/target.go
@@ -132,9 +132,12 @@
 	}
 }
 
-// report is the target's word on its load.
-func (t *target) report() placement.Report {
-	return placement.Report{
+// report is the target's word on its load, nil if it doesn't tell.
+func (t *target) report() *placement.Report {
+	if t.world.load.Mute {
+		return nil
+	}
+	return &placement.Report{
 		Running:  len(t.running),
 		Waiting:  len(t.waiting),
 		Slots:    t.world.load.Slots,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,7 @@
 	now := time.Now()
 	result := c.gateway.resultOf(response, err)
 	if result.Outcome == placement.Answered {
-		a.learnWork(now.Sub(a.sentAt))
+		a.learnWork(now.Sub(a.sentAt), result.Report != nil)
 		if now.After(c.decision.Due) && !c.over {
 			c.gateway.counts.Late++
 			c.gateway.log.late(a)
@@ -73,8 +73,22 @@
 	c.gateway.perform(c.service, c.service.pool.Finished(now, a.decision, result))
 }
 
-// learnWork takes the time of a good answer.
-func (a *attempt) learnWork(took time.Duration) {
+// workStep is the part by which the expected work follows an answer of a target that
+// doesn't tell how slow it is.
+const workStep = 0.03
+
+// learnWork takes the time of a good answer. Answers of targets that don't tell how slow
+// they are lead to the median, as most come at the usual speed.
+func (a *attempt) learnWork(took time.Duration, told bool) {
+	if !told {
+		state := a.call.state
+		step := time.Duration(workStep * float64(state.work))
+		if took < state.work {
+			step = -step
+		}
+		state.work += step
+		return
+	}
 	sample := float64(took) / max(a.decision.Slowness, 1)
 	state := a.call.state
 	state.work += time.Duration(workWeight * (sample - float64(state.work)))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,6 +33,8 @@
 type Options struct {
 	// Zone is the daemon's availability zone.
 	Zone string
+	// Zones are the availability zones of the deployment.
+	Zones []string
 	// Dialect is how callers and targets speak.
 	Dialect Dialect
 	// RetryWindow, RetryRatio and RetryFixed bound the sends beyond the first of
@@ -54,6 +56,8 @@
 	Retries float64
 	// Probes is the part of the rate of probes.
 	Probes float64
+	// Places is the part of the places at targets that don't tell their load.
+	Places placement.Part
 }
 
 // Gateway carries requests. It implements callerserver.Handler.
@@ -191,6 +195,7 @@
 func (g *Gateway) share(pool *placement.Pool) {
 	pool.SetFixedBudget(g.options.RetryFixed * g.shares.Retries)
 	pool.SetProbeRate(time.Now(), g.options.ProbeRate*g.shares.Probes)
+	pool.SetPart(g.shares.Places)
 }
 
 // service returns the placement of a service.
@@ -201,6 +206,7 @@
 	budget := placement.NewBudget(g.options.RetryWindow, g.options.RetryRatio, 0)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &service{name: name, pool: placement.NewPool(rng, g.options.Zone, budget)}
+	s.pool.SetZones(g.options.Zones)
 	s.wake = newTimer(func(now time.Time) { g.perform(s, s.pool.Expire(now)) })
 	g.share(s.pool)
 	g.services[name] = s
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -140,6 +140,7 @@
 func (d *Daemon) listen() (<-chan error, error) {
 	d.gateway = gateway.New(gateway.Options{
 		Zone:        d.settings.Zone,
+		Zones:       d.settings.Zones,
 		Dialect:     d.platform.Dialect(),
 		RetryWindow: d.settings.RetryWindow,
 		RetryRatio:  d.settings.RetryRatio,
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -15,8 +15,8 @@
 type Settings struct {
 	// Name is the VM's name, IP its own address, Zone its availability zone.
 	Name, IP, Zone string
-	// Zones is the number of availability zones of the deployment.
-	Zones int
+	// Zones are the availability zones of the deployment.
+	Zones []string
 	// Front serves callers, Directory those who ask for entry VMs, Ready the platform's
 	// checks, Peer other daemons, by datagrams and connections: "ip:port" each.
 	Front, Directory, Ready, Peer string
--- a/internal/gatewayd/shares.go
+++ b/internal/gatewayd/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
+	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
 const (
@@ -29,13 +30,14 @@
 
 func (d *Daemon) shares() gateway.Shares {
 	standing := d.node.Standing()
-	zones := float64(max(d.settings.Zones, 1))
+	zones := float64(max(len(d.settings.Zones), 1))
 	all := 1 / (zones * float64(standing.Daemons))
 	shares := gateway.Shares{
 		Retries: (1 - namedRetries) * all,
 		Probes:  probeMargin * (1 - namedProbes) * all,
 	}
 	if standing.Named {
+		shares.Places = placement.Part{Index: standing.Index, Of: standing.NamedDaemons}
 		each := 1 / (zones * float64(standing.NamedDaemons))
 		shares.Retries += namedRetries * each
 		shares.Probes += probeMargin * namedProbes * each
--- a/internal/heartbeat/naming.go
+++ b/internal/heartbeat/naming.go
@@ -106,6 +106,8 @@
 type Standing struct {
 	// Named is set if callers are sent to the daemon.
 	Named bool
+	// Index is its place among those that callers are sent to, from 0.
+	Index int
 	// NamedDaemons counts those that callers are sent to, Daemons all of the zone.
 	NamedDaemons, Daemons int
 }
@@ -113,8 +115,10 @@
 // Standing returns what this daemon is in its zone.
 func (r *Roster) Standing(now time.Time) Standing {
 	named := r.named(now)
+	index := slices.IndexFunc(named, r.isSelf)
 	return Standing{
-		Named:        slices.ContainsFunc(named, r.isSelf),
+		Named:        index >= 0,
+		Index:        max(index, 0),
 		NamedDaemons: len(named),
 		Daemons:      len(r.records) + 1,
 	}
--- a/internal/heartbeat/roster_test.go
+++ b/internal/heartbeat/roster_test.go
@@ -156,7 +156,7 @@
 	r.Heard(start, Member{Name: "b", Front: "b:80", Born: 1, State: Ready, Capacity: 200})
 	require.Equal(t, Standing{NamedDaemons: 1, Daemons: 2}, r.Standing(start))
 	r.SetLoad(250)
-	require.Equal(t, Standing{Named: true, NamedDaemons: 2, Daemons: 2}, r.Standing(start))
+	require.Equal(t, Standing{Named: true, Index: 1, NamedDaemons: 2, Daemons: 2}, r.Standing(start))
 }
 
 func TestLoadRisesAtOnceAndFades(t *testing.T) {
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -115,7 +115,8 @@
 
 // choose returns the target that a request goes to now, nil if it has to wait.
 func (p *Pool) choose(now time.Time, r *Request, exclusion exclusion) *Target {
-	blind := len(r.live) == 0 && (p.mute || now.Sub(r.arrived) > blindAfter && p.probes == 0)
+	blind := p.mute || len(r.live) == 0 && now.Sub(r.arrived) > blindAfter && p.probes == 0
+	lacking := p.lacksPlaces(now, exclusion)
 	var best *Target
 	bestCost := 0.0
 	for _, t := range p.list {
@@ -125,6 +126,9 @@
 		if !t.fresh(now) && !blind {
 			continue
 		}
+		if t.mute && t.own() >= t.places && !lacking {
+			continue
+		}
 		if cost := t.cost(now, p.zone); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
--- a/internal/placement/ends.go
+++ b/internal/placement/ends.go
@@ -34,7 +34,8 @@
 	}
 	switch result.Outcome {
 	case Answered:
-		p.mute = result.Report == nil
+		p.setMute(result.Report == nil)
+		t.guess.answered(now, now.Sub(a.sentAt), work)
 		p.group.Good(now, &t.health, now.Sub(a.sentAt))
 	case Failed:
 		p.group.Failed(now, &t.health, outlier.ServerError, work)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -43,8 +43,12 @@
 
 // Pool places the requests of one service.
 type Pool struct {
-	rng     *rand.Rand
-	zone    string
+	rng  *rand.Rand
+	zone string
+	// zones are the availability zones of the deployment, part is this daemon's part of
+	// its zone's places.
+	zones   []string
+	part    Part
 	budget  Budget
 	targets map[string]*Target
 	list    []*Target
@@ -78,6 +82,17 @@
 // SetFixedBudget sets the daemon's part of the fixed allowance of retries.
 func (p *Pool) SetFixedBudget(fixed float64) { p.budget.SetFixed(fixed) }
 
+// SetZones sets the availability zones of the deployment.
+func (p *Pool) SetZones(zones []string) { p.zones = zones }
+
+// SetPart sets the daemon's part of the places of its availability zone.
+func (p *Pool) SetPart(part Part) {
+	if p.part != part {
+		p.part = part
+		p.deal()
+	}
+}
+
 // Targets returns the targets for inspection.
 func (p *Pool) Targets() []*Target { return p.list }
 
@@ -96,6 +111,7 @@
 			t = &Target{coldUntil: now.Add(entry.ColdFor)}
 		}
 		t.Entry = entry
+		t.mute = p.mute
 		next[entry.ID] = t
 		p.list = append(p.list, t)
 	}
@@ -107,6 +123,7 @@
 	p.targets = next
 	p.limitProbes(now)
 	p.regroup()
+	p.deal()
 	p.assign(now)
 	return p.actions
 }
@@ -164,6 +181,9 @@
 	p.begin()
 	p.probeOver(now, t)
 	t.health.Check(healthy)
+	if healthy {
+		p.setMute(report == nil)
+	}
 	if report == nil {
 		report = &Report{Running: t.own(), Slots: t.Slots, Slowness: 1}
 	}
--- a/internal/placement/rescue.go
+++ b/internal/placement/rescue.go
@@ -43,10 +43,13 @@
 
 // watch makes the pool look at an attempt while it runs.
 func (p *Pool) watch(now time.Time, a *Attempt) {
-	if p.mute || !a.Request.maySendBeside() {
+	if !a.Request.maySendBeside() {
 		return
 	}
 	a.checkAt = now.Add(max(a.Request.Work/checkShare, checkEvery))
+	if p.mute {
+		a.checkAt = now.Add(time.Duration(overdueShare * float64(a.Request.Work)))
+	}
 	p.checked = append(p.checked, a)
 }
 
@@ -58,7 +61,10 @@
 			continue
 		}
 		a.checkAt = now.Add(checkEvery)
-		if !a.Target.probing {
+		switch {
+		case p.mute:
+			p.sendBeside(now, a)
+		case !a.Target.probing:
 			p.startProbe(now, a.Target)
 		}
 	}
@@ -78,9 +84,16 @@
 		if !r.maySendBeside() || !a.worthChecking(now) {
 			continue
 		}
-		if !now.Add(a.remaining()).After(r.Due) || !p.budget.Take(now) {
-			continue
+		if now.Add(a.remaining()).After(r.Due) {
+			p.sendBeside(now, a)
 		}
-		p.enqueue(r)
+	}
+}
+
+// sendBeside lets the request of an attempt wait for another target, if the budget
+// allows it.
+func (p *Pool) sendBeside(now time.Time, a *Attempt) {
+	if p.budget.Take(now) {
+		p.enqueue(a.Request)
 	}
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -69,6 +69,13 @@
 	others int
 
 	health outlier.Target
+
+	// mute is set while the target doesn't tell its load; guess stands for it.
+	mute  bool
+	guess guess
+	// places is the number of requests below the knee that are this daemon's alone to
+	// send while the target is mute.
+	places int
 }
 
 // ends reports whether the target leaves or is gone: it gets no new requests.
@@ -90,8 +97,17 @@
 	return list
 }
 
-// limit is the number of requests that the target should have.
+// limit is the number of requests that the target should have, of this daemon alone if
+// it doesn't tell those of others.
 func (t *Target) limit() int {
+	if t.mute {
+		return max(t.places, sparePlaces)
+	}
+	return t.below()
+}
+
+// below is the number of requests that the target has below its knee.
+func (t *Target) below() int {
 	slots := t.Slots
 	if t.reported && t.report.Slots > 0 {
 		slots = t.report.Slots
@@ -127,7 +143,10 @@
 // Slowness is the expected time of work in relation to the usual.
 func (t *Target) Slowness(now time.Time) float64 {
 	slowness := usualSlowness
-	if t.fresh(now) {
+	switch {
+	case t.mute:
+		slowness = t.guessed(now)
+	case t.fresh(now):
 		slowness = t.report.Slowness
 	}
 	if now.Before(t.coldUntil) {
