Refuse late comers of a leaving daemon that can't be finished

Ruled out: requests of the first 3 s (callers that kept the old list): they are served as before.

Change: 3.2 s after its SIGTERM a daemon takes on only requests whose deadline is before its end; others are told that they have not run, and to come back in 50 ms.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,6 +62,10 @@
 	}
 	g.arrived.Add(1)
 	c := g.newCall(request, exchange, r)
+	if g.leaving.refuses(c.started, c.decision.Deadline) {
+		g.refuseEarly(request, exchange, fasthttp.StatusServiceUnavailable, reasonLeaving)
+		return
+	}
 	g.timers.set(c.timeout, c.decision.Deadline)
 	exchange.WatchCaller(c)
 	if !c.over {
@@ -181,7 +185,7 @@
 	g.log.refusedEarly(g.options.Dialect.RequestID(request), request, status, reason)
 	response := failure(status, reason)
 	if status == fasthttp.StatusServiceUnavailable {
-		setRetryAfter(response, notReadyRetryAfter)
+		setRetryAfter(response, retryAfterOf(reason))
 	}
 	exchange.ReplyOnLoop(response)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,8 @@
 	routes   map[string]*routeState
 	timers   timers
 	sweep    *timer
+	// leaving is nil until the daemon is told to end.
+	leaving *leaving
 	shares   Shares
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -12,10 +12,23 @@
 const (
 	reasonNotReady = "not_ready"
 	reasonNoRoute  = "no_route"
+	reasonLeaving  = "leaving"
 )
 
-// notReadyRetryAfter is when callers of a daemon without configuration come back.
-const notReadyRetryAfter = 300 * time.Millisecond
+const (
+	// notReadyRetryAfter is when callers of a daemon without configuration come back.
+	notReadyRetryAfter = 300 * time.Millisecond
+	// leavingRetryAfter is when those of a daemon that ends do, by then to another one.
+	leavingRetryAfter = 50 * time.Millisecond
+)
+
+// retryAfterOf returns when callers come back whose request was not placed.
+func retryAfterOf(reason string) time.Duration {
+	if reason == reasonLeaving {
+		return leavingRetryAfter
+	}
+	return notReadyRetryAfter
+}
 
 // failure returns an answer of the daemon's own.
 func failure(status int, reason string) *fasthttp.Response {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -33,6 +33,8 @@
 	// leaveMargin is the time before the end of the grace at which a leaving daemon
 	// ends, whatever is under way.
 	leaveMargin = 300 * time.Millisecond
+	// lateMargin is added to the time for which callers keep a list, for their way.
+	lateMargin = 200 * time.Millisecond
 	// leavePoll is the pause between two looks whether a leaving daemon can end.
 	leavePoll = 50 * time.Millisecond
 	// stopTimeout bounds the closing of connections at the end.
--- a/internal/gatewayd/leave.go
+++ b/internal/gatewayd/leave.go
@@ -14,10 +14,11 @@
 	d.leaving.Store(true)
 	d.serving.Store(false)
 	d.node.SetState(heartbeat.Leaving)
+	end := began.Add(d.settings.Grace - leaveMargin)
+	d.gateway.Leave(began.Add(keepFactor*keepTime+lateMargin), end)
 	d.server.Drain()
 	d.log.WithField("in_flight", d.server.InFlight()).Info("leaving")
 	go d.forget()
-	end := began.Add(d.settings.Grace - leaveMargin)
 	for time.Now().Before(end) {
 		time.Sleep(leavePoll)
 		if time.Since(began) > keepFactor*keepTime+leaveMargin && d.server.InFlight() == 0 {
