Send callers to other zones while nobody of their own zone serves

Ruled out: asking other zones all the time (bytes between zones are dear); the entries in the store alone (they don't tell who serves, and it was away).

Change: daemons keep the members of other zones that they list anyway. Only while nobody of the own zone serves they ask one member of each other zone, by datagram, whom that zone names, and name those; a silent contact makes way for the next. The same contacts stand in as sources of what the store holds.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,7 +80,7 @@
 	sweep    *timer
 	// leaving is nil until the daemon is told to end.
 	leaving *leaving
-	shares   Shares
+	shares  Shares
 }
 
 // service is the placement of one service.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -97,6 +97,7 @@
 	d.started = time.Now()
 	self := heartbeat.Member{
 		Name:  d.settings.Name,
+		Zone:  d.settings.Zone,
 		Front: d.settings.Front,
 		Peer:  d.settings.Peer,
 		Born:  d.started.UnixMilli(),
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -66,7 +66,7 @@
 	// Enter enters the daemon where others of its zone look, Leave takes it out.
 	Enter(member heartbeat.Member) error
 	Leave() error
-	// Entered returns who is entered in the zone, as it was some seconds ago at worst.
+	// Entered returns who is entered, in all zones, as it was some seconds ago at worst.
 	Entered() ([]heartbeat.Member, error)
 	// Directory answers who asks for entry VMs, which may be kept for a time.
 	Directory(request *fasthttp.Request, named []string, keep time.Duration) *fasthttp.Response
--- a/internal/heartbeat/naming.go
+++ b/internal/heartbeat/naming.go
@@ -81,7 +81,7 @@
 func (r *Roster) isSelf(m Member) bool { return m.Name == r.self.Name }
 
 // Sources returns the "ip:port" of daemons that read the store themselves, those first
-// that no callers are sent to.
+// that no callers are sent to. They are of other zones if the own has none.
 func (r *Roster) Sources(now time.Time) []string {
 	named, next := r.active(now)
 	var sources []string
@@ -90,11 +90,23 @@
 			sources = append(sources, member.Peer)
 		}
 	}
+	if len(sources) == 0 {
+		sources = r.contacts(now)
+	}
 	return sources[:min(len(sources), maxSources)]
 }
 
-// Named returns the addresses that callers are sent to.
+// Named returns the addresses that callers are sent to: those of other zones if nobody
+// serves in this one.
 func (r *Roster) Named(now time.Time) []string {
+	if named := r.NamedHere(now); len(named) > 0 {
+		return named
+	}
+	return r.namedOutside(now)
+}
+
+// NamedHere returns the addresses of the own zone that callers are sent to.
+func (r *Roster) NamedHere(now time.Time) []string {
 	var named []string
 	for _, member := range r.named(now) {
 		named = append(named, member.Front)
--- a/internal/heartbeat/node.go
+++ b/internal/heartbeat/node.go
@@ -17,15 +17,24 @@
 const (
 	kindPing = "ping"
 	kindPong = "pong"
+	// kindAsk asks a member of another zone whom it names, kindNamed answers.
+	kindAsk   = "ask"
+	kindNamed = "named"
 )
 
-// maxDatagram bounds a datagram, in bytes.
-const maxDatagram = 1024
+const (
+	// maxDatagram bounds a datagram, in bytes.
+	maxDatagram = 1024
+	// maxNamed bounds the addresses in a datagram.
+	maxNamed = 8
+)
 
 // datagram is a message between daemons.
 type datagram struct {
 	Kind string `json:"kind"`
 	From Member `json:"from"`
+	// Named are the addresses that callers of the sender's zone are sent to.
+	Named []string `json:"named,omitempty"`
 }
 
 // Node asks the daemons of the zone and answers them. It is safe for concurrent use.
@@ -61,6 +70,7 @@
 	members := n.roster.Members()
 	n.mu.Unlock()
 	n.send(kindPing, members)
+	n.askDue()
 }
 
 // Learn takes the names of members from elsewhere.
@@ -133,16 +143,26 @@
 // askDue asks the members that are due; false means that the node is closed.
 func (n *Node) askDue() bool {
 	n.mu.Lock()
-	due := n.roster.Due(time.Now())
+	now := time.Now()
+	due := n.roster.Due(now)
+	outside := n.roster.OutsideDue(now)
 	n.mu.Unlock()
-	return n.send(kindPing, due)
+	return n.send(kindPing, due) && n.send(kindAsk, outside)
 }
 
 // send sends a message to members; false means that the node is closed.
 func (n *Node) send(kind string, members []Member) bool {
+	if len(members) == 0 {
+		return true
+	}
 	n.mu.Lock()
-	message, err := json.Marshal(datagram{Kind: kind, From: n.roster.Self()})
+	outgoing := datagram{Kind: kind, From: n.roster.Self()}
+	if kind == kindNamed {
+		named := n.roster.NamedHere(time.Now())
+		outgoing.Named = named[:min(len(named), maxNamed)]
+	}
 	n.mu.Unlock()
+	message, err := json.Marshal(outgoing)
 	if err != nil {
 		n.log.WithError(err).Error("heartbeat not encoded")
 		return true
@@ -187,10 +207,19 @@
 }
 
 func (n *Node) handle(message datagram) {
-	n.mu.Lock()
-	n.roster.Heard(time.Now(), message.From)
-	n.mu.Unlock()
-	if message.Kind == kindPing {
-		n.send(kindPong, []Member{message.From})
+	switch message.Kind {
+	case kindAsk:
+		n.send(kindNamed, []Member{message.From})
+	case kindNamed:
+		n.mu.Lock()
+		n.roster.HeardOutside(time.Now(), message.From, message.Named)
+		n.mu.Unlock()
+	default:
+		n.mu.Lock()
+		n.roster.Heard(time.Now(), message.From)
+		n.mu.Unlock()
+		if message.Kind == kindPing {
+			n.send(kindPong, []Member{message.From})
+		}
 	}
 }
--- a/internal/heartbeat/roster.go
+++ b/internal/heartbeat/roster.go
@@ -40,6 +40,8 @@
 // Member is a daemon of the zone.
 type Member struct {
 	Name string `json:"name"`
+	// Zone is its availability zone.
+	Zone string `json:"zone,omitempty"`
 	// Front is the "ip:port" that serves callers.
 	Front string `json:"front"`
 	// Peer is the "ip:port" for datagrams.
@@ -82,6 +84,8 @@
 	self    Member
 	size    int
 	records map[string]*record
+	// outside are the other availability zones.
+	outside []*outside
 }
 
 // NewRoster returns the roster of a daemon that names at least size daemons to callers.
@@ -98,9 +102,15 @@
 // SetLoad sets the rate of calls that the daemon has, a second.
 func (r *Roster) SetLoad(load float64) { r.self.Load = load }
 
-// Learn takes the name of a member from elsewhere. It has to answer before it
-// counts.
-func (r *Roster) Learn(now time.Time, member Member) { r.admit(now, member) }
+// Learn takes the name of a member from elsewhere, of whichever zone. It has to answer
+// before it counts.
+func (r *Roster) Learn(now time.Time, member Member) {
+	if member.Zone != r.self.Zone {
+		r.learnOutside(member)
+		return
+	}
+	r.admit(now, member)
+}
 
 // admit returns the record of a member, nil if it is out of date or our own.
 func (r *Roster) admit(now time.Time, member Member) *record {
