Stop requests that crash targets in the gateway, on all daemons and over restarts

Cause: a gateway sent a request that crashes targets to maxAttempts of them for each try of its caller, at every daemon, for ever (12 of 12 targets by 8 tries of an idempotent request, 8 of 12 by 8 of one that must not run twice).

Ruled out: counting each lost answer as a death (targets lose answers and live: the target is asked at once, and counts as dead only if it doesn't answer); taking turns as the other daemon does (the requests of a dead target go to different targets here); a watch on the platform (a call for each daemon and wait; deaths are rare).

Change: internal/quarantine's tracker and keeper are used, with a way that gives no turns. Quarantined content is kept on the platform, read by starting daemons, and forgotten when it expires or is cleared. The dump, a metric and log lines show it. Probes and this question share one type.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,6 +61,12 @@
 	c := a.call
 	now := time.Now()
 	result := c.gateway.resultOf(response, err)
+	if c.gateway.quarantine != nil && mayHaveDied(err) {
+		c.gateway.log.attemptFailed(a, result, err)
+		c.suspected = c.content()
+		a.suspect(result)
+		return
+	}
 	if result.Outcome == placement.Answered {
 		a.learnWork(now.Sub(a.sentAt), result.Report != nil)
 		if now.After(c.decision.Due) && !c.over {
@@ -70,6 +76,15 @@
 	} else {
 		c.gateway.log.attemptFailed(a, result, err)
 	}
+	a.conclude(now, result)
+}
+
+// conclude passes the attempt's end to the placement, unless it isn't wanted any more.
+func (a *attempt) conclude(now time.Time, result placement.Result) {
+	if a.canceled {
+		return
+	}
+	c := a.call
 	c.gateway.perform(c.service, c.service.pool.Finished(now, a.decision, result))
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -32,6 +33,8 @@
 	// patience is how long the caller waits.
 	patience time.Duration
 	over     bool
+	// suspected identifies what the call asks for once a target may have died of it.
+	suspected quarantine.Content
 }
 
 // find returns the route of a request, nil if there is none.
@@ -66,6 +69,10 @@
 		g.refuseEarly(request, exchange, fasthttp.StatusServiceUnavailable, reasonLeaving)
 		return
 	}
+	if c.quarantined(c.started) {
+		g.refuseEarly(request, exchange, fasthttp.StatusServiceUnavailable, string(placement.ReasonQuarantined))
+		return
+	}
 	g.timers.set(c.timeout, c.decision.Deadline)
 	exchange.WatchCaller(c)
 	if !c.over {
@@ -152,6 +159,7 @@
 // deliver passes a target's answer on.
 func (c *call) deliver(response *fasthttp.Response) {
 	c.gateway.counts.delivered(response.StatusCode(), time.Since(c.started))
+	c.endSuspicion(response)
 	stripHopHeaders(&response.Header)
 	c.exchange.ReplyOnLoop(response)
 	fasthttp.ReleaseResponse(response)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
@@ -71,6 +72,8 @@
 	revision atomic.Uint64
 	// arrived counts the requests that were placed.
 	arrived atomic.Uint64
+	// quarantine is nil where requests that crash targets aren't looked for.
+	quarantine *quarantine.Keeper
 
 	// What follows is touched only on the event loop.
 	table    *route.Table
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -13,61 +13,70 @@
 // probeTimeout bounds the wait for a target's word on its load.
 const probeTimeout = 40 * time.Millisecond
 
-// probe asks a target for its load.
-type probe struct {
+// errProbeTimeout ends a question without an answer in time.
+var errProbeTimeout = errors.New("gateway: the target doesn't answer a question")
+
+// question asks a target at its health path.
+type question struct {
 	gateway  *Gateway
-	service  *service
-	target   *placement.Target
 	exchange targetclient.Attempt
 	request  *fasthttp.Request
 	timeout  *timer
 	over     bool
+	// answered takes the answer, valid until it returns, or an error.
+	answered func(now time.Time, response *fasthttp.Response, err error)
 }
 
-func (g *Gateway) probe(s *service, target *placement.Target) {
-	p := &probe{gateway: g, service: s, target: target, request: fasthttp.AcquireRequest()}
-	p.exchange.Address = targetclient.Address{HostPort: target.Address}
-	p.request.Header.SetMethod(fasthttp.MethodGet)
-	p.request.Header.SetHost(target.Address)
-	p.request.SetRequestURI(s.healthPath)
-	p.timeout = newTimer(p.timedOut)
+// ask asks a target. Answered is called once.
+func (g *Gateway) ask(s *service, address string, answered func(time.Time, *fasthttp.Response, error)) {
+	q := &question{gateway: g, request: fasthttp.AcquireRequest(), answered: answered}
+	q.exchange.Address = targetclient.Address{HostPort: address}
+	q.request.Header.SetMethod(fasthttp.MethodGet)
+	q.request.Header.SetHost(address)
+	q.request.SetRequestURI(s.healthPath)
+	q.timeout = newTimer(q.timedOut)
 	now := time.Now()
 	g.counts.Probes++
-	g.timers.set(p.timeout, now.Add(probeTimeout))
-	g.client.Start(g.loop, &p.exchange, now.Add(time.Second), p.request, p)
+	g.timers.set(q.timeout, now.Add(probeTimeout))
+	g.client.Start(g.loop, &q.exchange, now.Add(time.Second), q.request, q)
 }
 
 // Ended implements targetclient.Handler.
-func (p *probe) Ended(response *fasthttp.Response, err error) {
-	fasthttp.ReleaseRequest(p.request)
-	if !p.over {
-		p.over = true
-		p.gateway.timers.stop(p.timeout)
-		p.gateway.perform(p.service, p.report(response, err))
+func (q *question) Ended(response *fasthttp.Response, err error) {
+	fasthttp.ReleaseRequest(q.request)
+	if !q.over {
+		q.over = true
+		q.gateway.timers.stop(q.timeout)
+		q.answered(time.Now(), response, err)
 	}
 	if response != nil {
 		fasthttp.ReleaseResponse(response)
 	}
 }
 
-// report passes the answer on.
-func (p *probe) report(response *fasthttp.Response, err error) []placement.Action {
-	now := time.Now()
-	pool := p.service.pool
+func (q *question) timedOut(now time.Time) {
+	q.over = true
+	q.gateway.counts.ProbesLost++
+	q.exchange.CancelOnLoop()
+	q.answered(now, nil, errProbeTimeout)
+}
+
+// probe asks a target for its load.
+func (g *Gateway) probe(s *service, target *placement.Target) {
+	g.ask(s, target.Address, func(now time.Time, response *fasthttp.Response, err error) {
+		g.perform(s, g.report(now, s.pool, target, response, err))
+	})
+}
+
+// report passes the answer to a probe on.
+func (g *Gateway) report(now time.Time, pool *placement.Pool, target *placement.Target, response *fasthttp.Response, err error) []placement.Action {
 	if err != nil {
 		var notSent *targetclient.NotSentError
-		return pool.ProbeFailed(now, p.target, errors.As(err, &notSent))
+		return pool.ProbeFailed(now, target, errors.As(err, &notSent))
 	}
-	meaning := p.gateway.options.Dialect.ProbeAnswer(response)
-	if meaning.Target != "" && meaning.Target != p.target.ID {
-		return pool.Misplaced(now, p.target)
+	meaning := g.options.Dialect.ProbeAnswer(response)
+	if meaning.Target != "" && meaning.Target != target.ID {
+		return pool.Misplaced(now, target)
 	}
-	return pool.Probed(now, p.target, meaning.Report, meaning.Healthy)
-}
-
-func (p *probe) timedOut(now time.Time) {
-	p.over = true
-	p.gateway.counts.ProbesLost++
-	p.exchange.CancelOnLoop()
-	p.gateway.perform(p.service, p.service.pool.ProbeFailed(now, p.target, false))
+	return pool.Probed(now, target, meaning.Report, meaning.Healthy)
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -22,12 +22,16 @@
 	leavingRetryAfter = 50 * time.Millisecond
 )
 
-// retryAfterOf returns when callers come back whose request was not placed.
+// retryAfterOf returns when callers come back whose request was not placed; 0 says
+// nothing.
 func retryAfterOf(reason string) time.Duration {
-	if reason == reasonLeaving {
+	switch reason {
+	case reasonLeaving:
 		return leavingRetryAfter
+	case reasonNotReady:
+		return notReadyRetryAfter
 	}
-	return notReadyRetryAfter
+	return 0
 }
 
 // failure returns an answer of the daemon's own.
--- a/internal/gatewayd/admin.go
+++ b/internal/gatewayd/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
 	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 )
 
 // Paths of the admin port.
@@ -38,7 +39,9 @@
 	// Named are the entry VMs of the zone that callers are sent to.
 	Named   []string           `json:"named"`
 	Members []heartbeat.Member `json:"members"`
-	Gateway gateway.State      `json:"gateway"`
+	// Suspects are contents of requests at which targets died.
+	Suspects []quarantine.Suspect `json:"suspects"`
+	Gateway  gateway.State        `json:"gateway"`
 }
 
 func (d *Daemon) dump() Dump {
@@ -51,13 +54,14 @@
 		PlatformAway: d.monitor.Away(),
 		Named:        d.node.Named(),
 		Members:      d.node.Members(),
+		Suspects:     d.quarantine.Suspects(time.Now()),
 		Gateway:      d.gateway.State(),
 	}
 }
 
-// admin serves the dump and metrics. It does without them if the port is taken: callers
-// come first.
-func (d *Daemon) admin() {
+// serveAdmin serves the dump and metrics. It does without them if the port is taken:
+// callers come first.
+func (d *Daemon) serveAdmin() {
 	if d.settings.AdminPort == 0 {
 		return
 	}
@@ -73,7 +77,12 @@
 		}
 	})
 	server := &http.Server{Addr: address, Handler: mux, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout}
-	d.log.WithError(server.ListenAndServe()).WithField("address", address).Error("no admin port")
+	d.listening = append(d.listening, server)
+	go func() {
+		if err := server.ListenAndServe(); !d.leaving.Load() {
+			d.log.WithError(err).WithField("address", address).Error("no admin port")
+		}
+	}()
 }
 
 // collector shows the daemon's counts to Prometheus.
@@ -94,13 +103,14 @@
 	targetsDesc  = description("targets", "Targets, by service and state.", "service", "state")
 	revisionDesc = description("revision", "Revision of the configuration in force.")
 	awayDesc     = description("platform_away", "1 while the platform doesn't answer.")
+	suspectsDesc = description("suspects", "Contents of requests at which targets died, by state.", "state")
 	namedDesc    = description("named", "Entry VMs of the zone that callers are sent to.")
 )
 
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		answersDesc, elapsedDesc, lateDesc, sentDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, awayDesc, namedDesc,
+		answersDesc, elapsedDesc, lateDesc, sentDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, awayDesc, namedDesc, suspectsDesc,
 	} {
 		descriptions <- d
 	}
@@ -133,6 +143,7 @@
 		away = 1
 	}
 	gauge(awayDesc, away)
+	c.collectSuspects(gauge)
 	for _, service := range state.Services {
 		gauge(queuedDesc, float64(service.Queued), service.Name)
 		states := map[string]int{}
@@ -145,6 +156,19 @@
 	}
 }
 
+// collectSuspects shows the contents that crash targets, or may.
+func (c *collector) collectSuspects(gauge func(d *prometheus.Desc, value float64, labels ...string)) {
+	suspects := c.daemon.quarantine.Suspects(time.Now())
+	quarantined := 0
+	for _, suspect := range suspects {
+		if suspect.Quarantined {
+			quarantined++
+		}
+	}
+	gauge(suspectsDesc, float64(quarantined), "quarantined")
+	gauge(suspectsDesc, float64(len(suspects)-quarantined), "suspected")
+}
+
 // elapsedBuckets returns the cumulative counts that Prometheus expects.
 func elapsedBuckets(counts gateway.Counts) map[float64]uint64 {
 	buckets := map[float64]uint64{}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -4,6 +4,7 @@
 package gatewayd
 
 import (
+	"io"
 	"os"
 	"os/signal"
 	"runtime"
@@ -19,6 +20,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
 	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -65,6 +67,10 @@
 	monitor  *feed.Monitor
 	gateway  *gateway.Gateway
 	server   *callerserver.Server
+	// listening holds what is closed at the end.
+	listening []io.Closer
+	// quarantine keeps requests that crash targets.
+	quarantine *quarantine.Keeper
 
 	hasConfig  atomic.Bool
 	hasTargets atomic.Bool
@@ -119,7 +125,7 @@
 		return err
 	}
 	go d.join(self)
-	go d.admin()
+	d.serveAdmin()
 	for {
 		select {
 		case err := <-failed:
--- a/internal/gatewayd/follow.go
+++ b/internal/gatewayd/follow.go
@@ -15,16 +15,17 @@
 func (d *Daemon) follow() error {
 	feeds := d.platform.Feeds()
 	d.monitor = feed.NewMonitor(feeds.Store, d.node.Active, d.log)
+	client := peer.NewClient([]byte(d.settings.PeerKey))
 	store := relay.New(relay.Options{
 		Store:   feeds.Store,
-		Caller:  peer.NewClient([]byte(d.settings.PeerKey)),
+		Caller:  client,
 		Kinds:   []relay.Kind{{Name: feeds.ConfigKind}, {Name: feeds.TargetsKind, Spared: true}},
 		Sources: d.node.Sources,
 		Direct:  d.node.Active,
 		Away:    d.monitor.Away,
 	})
 	d.monitor.OnLost(store.Lost)
-	if err := d.serveDaemons(store); err != nil {
+	if err := d.serveDaemons(store, client); err != nil {
 		return err
 	}
 	config := &feed.Config{Name: feeds.ConfigName, Decode: feeds.DecodeConfig, Pass: d.configure, Log: d.log}
@@ -36,15 +37,19 @@
 }
 
 // serveDaemons serves the other daemons of the zone.
-func (d *Daemon) serveDaemons(store *relay.Store) error {
+func (d *Daemon) serveDaemons(store *relay.Store, client *peer.Client) error {
 	listener, err := net.Listen("tcp4", d.settings.Peer)
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	d.listening = append(d.listening, listener)
 	server := peer.NewServer([]byte(d.settings.PeerKey), d.log)
 	store.Register(server)
+	d.startQuarantine(client, server)
 	go func() {
-		d.log.WithError(server.Serve(listener)).Error("other daemons not served")
+		if err := server.Serve(listener); !d.leaving.Load() {
+			d.log.WithError(err).Error("other daemons not served")
+		}
 	}()
 	return nil
 }
--- a/internal/gatewayd/leave.go
+++ b/internal/gatewayd/leave.go
@@ -33,6 +33,10 @@
 	d.leaving.Store(true)
 	d.log.WithField("in_flight", d.server.InFlight()).Info("stopped")
 	d.node.Close()
+	for _, closer := range d.listening {
+		// What isn't closed ends with the process.
+		_ = closer.Close()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	// Connections that don't close in time are cut by the end of the process.
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -8,6 +8,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
 	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -68,6 +69,11 @@
 	Leave() error
 	// Entered returns who is entered, in all zones, as it was some seconds ago at worst.
 	Entered() ([]heartbeat.Member, error)
+	// Quarantine keeps a content that crashes targets over restarts of all daemons,
+	// Quarantined returns those that are kept, Release forgets one.
+	Quarantine(suspect quarantine.Suspect) error
+	Release(content quarantine.Content) error
+	Quarantined() ([]quarantine.Suspect, error)
 	// Directory answers who asks for entry VMs, which may be kept for a time.
 	Directory(request *fasthttp.Request, named []string, keep time.Duration) *fasthttp.Response
 	// Readiness answers a check.
--- a/internal/heartbeat/naming.go
+++ b/internal/heartbeat/naming.go
@@ -80,6 +80,19 @@
 
 func (r *Roster) isSelf(m Member) bool { return m.Name == r.self.Name }
 
+// ActivePeers returns the "ip:port" of the other daemons that callers are sent to, or
+// would be next.
+func (r *Roster) ActivePeers(now time.Time) []string {
+	named, next := r.active(now)
+	var peers []string
+	for _, member := range slices.Concat(named, next) {
+		if !r.isSelf(member) {
+			peers = append(peers, member.Peer)
+		}
+	}
+	return peers
+}
+
 // Sources returns the "ip:port" of daemons that read the store themselves, those first
 // that no callers are sent to. They are of other zones if the own has none.
 func (r *Roster) Sources(now time.Time) []string {
--- a/internal/heartbeat/node.go
+++ b/internal/heartbeat/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -104,6 +105,21 @@
 	return n.roster.Active(time.Now())
 }
 
+// ActivePeers returns the "ip:port" of the other daemons of the zone that callers are sent
+// to, or would be next.
+func (n *Node) ActivePeers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.ActivePeers(time.Now())
+}
+
+// OutsidePeers returns the "ip:port" of a few random members of each other zone.
+func (n *Node) OutsidePeers(ofZone int) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.roster.OutsidePeers(ofZone, rand.Perm)
+}
+
 // Sources returns the "ip:port" of daemons of the zone that read the store themselves.
 func (n *Node) Sources() []string {
 	n.mu.Lock()
--- a/internal/heartbeat/outside.go
+++ b/internal/heartbeat/outside.go
@@ -92,6 +92,18 @@
 	return named
 }
 
+// OutsidePeers returns the "ip:port" of a few members of each other zone, heard of or
+// not, chosen by pick.
+func (r *Roster) OutsidePeers(ofZone int, pick func(n int) []int) []string {
+	var peers []string
+	for _, o := range r.outside {
+		for _, i := range pick(len(o.members))[:min(ofZone, len(o.members))] {
+			peers = append(peers, o.members[i].Peer)
+		}
+	}
+	return peers
+}
+
 // contacts returns the "ip:port" of members of other zones that have lately answered.
 func (r *Roster) contacts(now time.Time) []string {
 	var contacts []string
--- a/internal/heartbeat/outside_test.go
+++ b/internal/heartbeat/outside_test.go
@@ -55,3 +55,18 @@
 	r.HeardOutside(now, due[0], nil)
 	require.Equal(t, due, r.OutsideDue(now.Add(askOutsideEvery)))
 }
+
+func TestAFewMembersOfEachOtherZoneArePicked(t *testing.T) {
+	r := NewRoster(Member{Name: "self", Zone: "a", State: Ready}, 1)
+	for _, name := range []string{"b1", "b2", "b3"} {
+		r.Learn(start, abroad(name, "b"))
+	}
+	r.Learn(start, abroad("c1", "c"))
+	inOrder := func(n int) []int { return []int{0, 1, 2}[:n] }
+	require.Len(t, r.OutsidePeers(2, inOrder), 3)
+	require.Contains(t, r.OutsidePeers(2, inOrder), "c1:90")
+	require.Empty(t, r.ActivePeers(start))
+	next := Member{Name: "next", Zone: "a", Peer: "next:90", State: Ready}
+	r.Heard(start, next)
+	require.Equal(t, []string{"next:90"}, r.ActivePeers(start))
+}
--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -16,9 +16,13 @@
 // Suspects are contents that were at a target when it died.
 type Suspects struct {
 	Suspects []quarantine.Suspect `json:"suspects"`
+	// Relay asks the receiver to tell the daemons of its availability zone.
+	Relay bool `json:"relay,omitempty"`
 }
 
 // Lift ends the suspicion of one content.
 type Lift struct {
 	Content quarantine.Content `json:"content,string"`
+	// Relay asks the receiver to tell the daemons of its availability zone.
+	Relay bool `json:"relay,omitempty"`
 }
--- a/internal/placement/ends.go
+++ b/internal/placement/ends.go
@@ -10,6 +10,7 @@
 func (p *Pool) Finished(now time.Time, a *Attempt, result Result) []Action {
 	p.begin()
 	r := a.Request
+	r.held = false
 	p.release(a)
 	p.learn(now, a, result)
 	if !r.over {
@@ -19,6 +20,12 @@
 	return p.actions
 }
 
+// Hold keeps a request from being sent beside an attempt whose end is about to be told.
+func (p *Pool) Hold(a *Attempt) {
+	a.Request.held = true
+	p.unqueue(a.Request)
+}
+
 // release takes an attempt away from its target.
 func (p *Pool) release(a *Attempt) {
 	a.Request.live = remove(a.Request.live, a)
@@ -68,6 +75,10 @@
 	if len(r.live) > 0 || r.waiting {
 		return
 	}
+	if result.Quarantined {
+		p.giveUp(now, r, ReasonQuarantined)
+		return
+	}
 	if reason, ok := p.mayRetry(now, r, result.Outcome); !ok {
 		p.giveUp(now, r, reason)
 		return
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -550,3 +550,27 @@
 	}
 	return rest
 }
+
+func TestAQuarantinedRequestIsNotSentAgain(t *testing.T) {
+	b := newBench(t, entry("a1", "a"), entry("a2", "a"))
+	a := b.place(b.request(true), quiet(0))
+	ended := b.pool.Finished(b.now, a, Result{Outcome: Lost, Quarantined: true})
+	require.Equal(t, ReasonQuarantined, b.only(ended, Unknown).Reason)
+	require.Empty(t, of(ended, Send))
+	require.Zero(t, b.pool.Queued())
+}
+
+// A request whose target may have died isn't sent beside it before that is known.
+func TestAHeldRequestIsNotSentBeside(t *testing.T) {
+	b := newBench(t, entry("a1", "a"), entry("a2", "a"))
+	a := b.place(b.request(true), quiet(0))
+	b.pool.Hold(a)
+	b.now = b.now.Add(work / 2)
+	actions := b.pool.Expire(b.now)
+	for _, target := range b.pool.Targets() {
+		actions = append(actions, b.pool.Probed(b.now, target, slow(1), true)...)
+	}
+	require.Empty(t, of(actions, Send))
+	again := b.follow(b.pool.Finished(b.now, a, Result{Outcome: Lost}), quiet(0))
+	require.NotSame(t, a.Target, again.Target)
+}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -33,7 +33,9 @@
 	failure any
 	// waiting is set while the request is in the queue.
 	waiting bool
-	over    bool
+	// held is set while it is not known whether the request may be sent once more.
+	held bool
+	over bool
 }
 
 // Attempt is one send of a request to a target.
@@ -132,6 +134,8 @@
 	Answer any
 	// Report is the load report on the answer, nil without one.
 	Report *Report
+	// Quarantined forbids to send the request once more: it crashes targets.
+	Quarantined bool
 }
 
 // ActionKind tells the driver what to do.
@@ -164,6 +168,8 @@
 	ReasonLost     Reason = "target_lost"
 	ReasonBudget   Reason = "retry_budget"
 	ReasonAttempts Reason = "attempts_used"
+	// ReasonQuarantined means that the request crashes targets.
+	ReasonQuarantined Reason = "quarantined"
 )
 
 // Action is one instruction to the driver.
--- a/internal/placement/rescue.go
+++ b/internal/placement/rescue.go
@@ -73,7 +73,7 @@
 // worthChecking reports whether another send could still bring the answer in time.
 func (a *Attempt) worthChecking(now time.Time) bool {
 	r := a.Request
-	return !r.over && len(r.live) == 1 && r.live[0] == a && !r.waiting && r.inTime(now)
+	return !r.over && !r.held && len(r.live) == 1 && r.live[0] == a && !r.waiting && r.inTime(now)
 }
 
 // rescue lets the requests at a target wait for another one if they would be late
--- a/internal/proxy/once.go
+++ b/internal/proxy/once.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/config"
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
+	"github.com/poplarwheel/poplarwheel/internal/fingerprint"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
@@ -75,7 +75,7 @@
 	number, numbered := resendNumber(c.request)
 	return &idempotency.Send{
 		Key:         *c.key,
-		Fingerprint: fingerprint(c.request),
+		Fingerprint: fingerprintOf(c.request),
 		Number:      number,
 		Ambiguous:   !numbered,
 		Decline:     c.needsRecord() || c.quarantined(now),
@@ -106,20 +106,15 @@
 	c.shard.proxy.guard.Begin(time.Now(), send)
 }
 
-// fingerprint identifies the content of a request.
-func fingerprint(request *fasthttp.Request) uint64 {
-	digest := xxhash.New()
-	for _, part := range [][]byte{
+// fingerprintOf identifies the content of a request.
+func fingerprintOf(request *fasthttp.Request) uint64 {
+	return fingerprint.Of(
 		request.Header.Method(),
 		request.Header.RequestURI(),
 		request.Header.Peek(wire.HeaderService),
 		request.Header.Peek(wire.HeaderType),
 		request.Body(),
-	} {
-		_, _ = digest.Write(part)
-		_, _ = digest.Write([]byte{0})
-	}
-	return digest.Sum64()
+	)
 }
 
 // decided continues a non-idempotent call.
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -20,7 +20,7 @@
 // before Serve.
 func (p *Proxy) SetQuarantine(keeper *quarantine.Keeper) { p.quarantine = keeper }
 
-func (c *call) content() quarantine.Content { return quarantine.Content(fingerprint(c.request)) }
+func (c *call) content() quarantine.Content { return quarantine.Content(fingerprintOf(c.request)) }
 
 // quarantined reports whether the call must not be run.
 func (c *call) quarantined(now time.Time) bool {
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -54,6 +54,17 @@
 	k.peers.Tell(suspect, func() { resume(k.recheck(resumed)) })
 }
 
+// Record is Died for drivers that send the requests of a dead target to different ones,
+// so that they needn't take turns.
+func (k *Keeper) Record(now time.Time, run *Run) {
+	var suspect Suspect
+	k.event(func() []Resumed {
+		suspect = k.tracker.Record(now, run)
+		return nil
+	})
+	k.peers.Tell(suspect, func() { resume(k.recheck([]Resumed{{Run: run, Allowed: true}})) })
+}
+
 // recheck forbids the runs whose content was quarantined since they were allowed.
 func (k *Keeper) recheck(resumed []Resumed) []Resumed {
 	return k.event(func() []Resumed {
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -54,3 +54,24 @@
 	keeper.Died(now, &Run{Content: 7, Target: "target-3", Began: now.Add(-time.Millisecond), Resume: func(a bool) { allowed = append(allowed, a) }})
 	require.Equal(t, []bool{true}, allowed)
 }
+
+// Recorded runs are told and resumed without taking turns, and forbidden at the limit.
+func TestRecordedRunsDontWaitForOneAnother(t *testing.T) {
+	peers := &answering{}
+	keeper := NewKeeper(peers)
+	peers.keeper = keeper
+	now := time.Now()
+	allowed := map[Content][]bool{}
+	record := func(content Content, target string, at time.Time) {
+		keeper.Record(at, &Run{Content: content, Target: target, Began: at.Add(-time.Millisecond), Resume: func(a bool) {
+			allowed[content] = append(allowed[content], a)
+		}})
+	}
+	record(1, "target-1", now)
+	record(2, "target-1", now)
+	require.Equal(t, map[Content][]bool{1: {true}, 2: {true}}, allowed)
+	record(1, "target-2", now.Add(time.Second))
+	require.Equal(t, []bool{true, false}, allowed[1])
+	require.True(t, keeper.Quarantined(now.Add(time.Second), 1))
+	require.False(t, keeper.Quarantined(now.Add(time.Second), 2))
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -72,6 +72,9 @@
 	return last
 }
 
+// Expired reports whether the suspect's deaths don't count any more.
+func (s *Suspect) Expired(now time.Time) bool { return now.Sub(s.newest()) >= Expiry }
+
 // add adds a death unless it is known.
 func (s *Suspect) add(death Death) {
 	if s.knows(death) {
@@ -176,27 +179,35 @@
 
 func (w *Tracker) find(now time.Time, content Content) *Suspect {
 	suspect := w.suspects[content]
-	if suspect != nil && now.Sub(suspect.newest()) >= Expiry {
+	if suspect != nil && suspect.Expired(now) {
 		delete(w.suspects, content)
 		return nil
 	}
 	return suspect
 }
 
+// Record takes the end of a request by the death of its target, without giving it a turn:
+// for drivers that send the requests of a dead target to different ones. It returns what
+// to tell other daemons.
+func (w *Tracker) Record(now time.Time, run *Run) Suspect {
+	suspect := w.suspect(now, run)
+	suspect.add(Death{Target: run.Target, Began: run.Began, At: now})
+	return w.copy(suspect)
+}
+
 // Died takes the end of a request by the death of its target. It returns what to
 // tell other daemons, and the runs to resume.
 func (w *Tracker) Died(now time.Time, run *Run) (Suspect, []Resumed) {
-	suspect := w.suspect(now, run)
-	suspect.add(Death{Target: run.Target, Began: run.Began, At: now})
+	suspect := w.Record(now, run)
 	var resumed []Resumed
-	if w.condemns(suspect) {
+	if suspect.Quarantined {
 		resumed = w.explain(run.Content)
-		return w.copy(suspect), append(resumed, Resumed{Run: run, Allowed: false})
+		return suspect, append(resumed, Resumed{Run: run, Allowed: false})
 	}
 	g := w.groupOf(now, run.Target)
 	g.members[run.Content] = true
 	g.waiting = append(g.waiting, run)
-	return w.copy(suspect), w.next(now, g)
+	return suspect, w.next(now, g)
 }
 
 // Resumed is a run that may be tried again, or must not be.
@@ -320,7 +331,7 @@
 	var resumed []Resumed
 	for _, told := range suspects {
 		run := &Run{Content: told.Content, Service: told.Service, Type: told.Type}
-		if len(told.Deaths) == 0 || now.Sub(told.newest()) >= Expiry {
+		if len(told.Deaths) == 0 || told.Expired(now) {
 			continue
 		}
 		suspect := w.suspect(now, run)
--- a/internal/quarantine/stored.go
+++ b/internal/quarantine/stored.go
@@ -132,7 +132,7 @@
 
 // expire drops what no longer counts.
 func (s *stored) expire(now time.Time) {
-	s.Suspects = slices.DeleteFunc(s.Suspects, func(kept Suspect) bool { return now.Sub(kept.newest()) >= Expiry })
+	s.Suspects = slices.DeleteFunc(s.Suspects, func(kept Suspect) bool { return kept.Expired(now) })
 }
 
 // bound drops the contents with the oldest deaths.
