Let large requests wait for targets of their own zone

Cause: placing weighed a target of another zone by 1.15 whatever goes over the wire.

Change: the mean size of a route's requests and answers is learned. For each kilobyte above 2 a request waits 2 ms for a target of its own zone, at most a third of the time it has, and another zone weighs 0.05 more; zones without a usable target don't bind.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,7 @@
 	}
 	if result.Outcome == placement.Answered {
 		a.learnWork(now.Sub(a.sentAt), result.Report != nil)
+		a.learnBytes(response)
 		if now.After(c.decision.Due) && !c.over {
 			c.gateway.counts.Late++
 			c.gateway.log.late(a)
@@ -88,6 +89,20 @@
 	c.gateway.perform(c.service, c.service.pool.Finished(now, a.decision, result))
 }
 
+// headerBytes stands for the headers of a request and its answer.
+const headerBytes = 500
+
+// learnBytes takes the size of a request and its answer.
+func (a *attempt) learnBytes(response *fasthttp.Response) {
+	state := a.call.state
+	bytes := float64(headerBytes + len(a.call.request.Body()) + len(response.Body()))
+	if state.bytes == 0 {
+		state.bytes = bytes
+		return
+	}
+	state.bytes += workWeight * (bytes - state.bytes)
+}
+
 // workStep is the part by which the expected work follows an answer of a target that
 // doesn't tell how slow it is.
 const workStep = 0.03
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -109,6 +109,7 @@
 		Due:         now.Add(r.Objective - elapsed),
 		Deadline:    now.Add(min(patience, r.Timeout)),
 		Work:        state.work,
+		Bytes:       int(state.bytes),
 		Payload:     c,
 	}
 	c.timeout = newTimer(c.timedOut)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,8 @@
 	patience time.Duration
 	// work is the mean time that targets take at their usual speed.
 	work time.Duration
+	// bytes is the mean size of a request and its answer.
+	bytes float64
 }
 
 // New returns a gateway without configuration.
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -117,19 +117,23 @@
 func (p *Pool) choose(now time.Time, r *Request, exclusion exclusion) *Target {
 	blind := p.mute || len(r.live) == 0 && now.Sub(r.arrived) > blindAfter && p.probes == 0
 	lacking := p.lacksPlaces(now, exclusion)
+	near := now.Before(r.farFrom()) && p.hasNear(now, exclusion)
 	var best *Target
 	bestCost := 0.0
 	for _, t := range p.list {
 		if !exclusion.allows(now, t) || r.hasTried(t) || !t.free(now) {
 			continue
 		}
+		if near && t.Zone != p.zone {
+			continue
+		}
 		if !t.fresh(now) && !blind {
 			continue
 		}
 		if t.mute && t.own() >= t.places && !lacking {
 			continue
 		}
-		if cost := t.cost(now, p.zone); best == nil || cost < bestCost {
+		if cost := t.cost(now, r, p.zone); best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
@@ -242,8 +246,12 @@
 
 // candidates returns the targets that are worth asking, the best first.
 func (p *Pool) candidates(now time.Time, exclusion exclusion) []*Target {
+	near := !p.mayGoFar(now) && p.hasNear(now, exclusion)
 	var candidates []*Target
 	for _, t := range p.list {
+		if t.Zone != p.zone && near {
+			continue
+		}
 		if exclusion.allows(now, t) && !t.probing && !t.fresh(now) && t.own() < t.limit() && now.Sub(t.probedAt) >= p.gap(now, t) {
 			candidates = append(candidates, t)
 		}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -19,6 +19,8 @@
 	Deadline time.Time
 	// Work is the time that a target is expected to take.
 	Work time.Duration
+	// Bytes is the expected size of the request and its answer together.
+	Bytes int
 	// Payload is the driver's own.
 	Payload any
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -19,8 +19,6 @@
 	usualSlowness = 1.6
 	// coldFactor is the slowness of a target that has just started.
 	coldFactor = 2.0
-	// zoneFactor weighs targets of other availability zones.
-	zoneFactor = 1.15
 )
 
 // Entry is a target as listed.
@@ -155,11 +153,11 @@
 	return slowness
 }
 
-// cost orders targets for a daemon of the given availability zone.
-func (t *Target) cost(now time.Time, zone string) float64 {
+// cost orders targets for a request at a daemon of the given availability zone.
+func (t *Target) cost(now time.Time, r *Request, zone string) float64 {
 	cost := t.Slowness(now) * (1 + 0.05*float64(t.Load(now)))
 	if t.Zone != zone {
-		cost *= zoneFactor
+		cost *= r.farCost()
 	}
 	return cost
 }
