Write logs from a goroutine of their own, so that a stalled reader holds nobody up

Cause: the gateway's event loop and the entry daemon wrote each log line themselves; a reader of standard output that stalls would have stopped them. The gateway neither logged nor counted breaches of invariants.

Ruled out: larger pipes (a bound that nobody sees); dropping without a word.

Change: at most 512 lines wait, what doesn't fit is dropped and counted in a line; lines that wait are written together; the end of the process waits up to 200 ms for them. Breaches are logged, counted in the metrics and shown in the dump.

--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -33,6 +34,9 @@
 	return sub
 }
 
+// logCloseLimit bounds the wait for the log's reader at the end.
+const logCloseLimit = 200 * time.Millisecond
+
 func (c *entryCommand) run(streams Streams) error {
 	if err := requireFlags(requirement{"settings", c.settingsPath}); err != nil {
 		return err
@@ -48,10 +52,10 @@
 	if c.check {
 		return c.printValid(streams)
 	}
-	log := logging.New(streams.Err, parsed.LogLevel)
-	invariant.OnBreach(func(breach *invariant.BreachError) {
-		log.WithField("invariant", breach.Name).WithField("detail", breach.Detail).Error("invariant breached")
-	})
+	lines := logging.NewAsync(streams.Err)
+	defer lines.Close(logCloseLimit)
+	log := logging.New(lines, parsed.LogLevel)
+	invariant.LogTo(log)
 	ctx, cancel := interrupted()
 	defer cancel()
 	return daemon.New(parsed, log).Run(ctx)
--- a/internal/gatewayd/admin.go
+++ b/internal/gatewayd/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
 	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
+	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 )
 
@@ -42,6 +43,8 @@
 	// Suspects are contents of requests at which targets died.
 	Suspects []quarantine.Suspect `json:"suspects"`
 	Gateway  gateway.State        `json:"gateway"`
+	// Breaches count what must always hold and didn't.
+	Breaches map[invariant.Name]uint64 `json:"breaches"`
 }
 
 func (d *Daemon) dump() Dump {
@@ -56,6 +59,7 @@
 		Members:      d.node.Members(),
 		Suspects:     d.quarantine.Suspects(time.Now()),
 		Gateway:      d.gateway.State(),
+		Breaches:     invariant.Breaches(),
 	}
 }
 
@@ -103,6 +107,7 @@
 	targetsDesc  = description("targets", "Targets, by service and state.", "service", "state")
 	revisionDesc = description("revision", "Revision of the configuration in force.")
 	awayDesc     = description("platform_away", "1 while the platform doesn't answer.")
+	breachesDesc = description("invariant_breaches_total", "Breaches of what must always hold, by invariant.", "invariant")
 	suspectsDesc = description("suspects", "Contents of requests at which targets died, by state.", "state")
 	namedDesc    = description("named", "Entry VMs of the zone that callers are sent to.")
 )
@@ -110,7 +115,7 @@
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		answersDesc, elapsedDesc, lateDesc, sentDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, awayDesc, namedDesc, suspectsDesc,
+		answersDesc, elapsedDesc, lateDesc, sentDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, awayDesc, namedDesc, suspectsDesc, breachesDesc,
 	} {
 		descriptions <- d
 	}
@@ -144,6 +149,9 @@
 	}
 	gauge(awayDesc, away)
 	c.collectSuspects(gauge)
+	for name, breaches := range invariant.Breaches() {
+		counter(breachesDesc, breaches, string(name))
+	}
 	for _, service := range state.Services {
 		gauge(queuedDesc, float64(service.Queued), service.Name)
 		states := map[string]int{}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"sync"
 	"testing"
+
+	"github.com/sirupsen/logrus"
 )
 
 // Name identifies an invariant in logs, metrics and dumps.
@@ -63,6 +65,13 @@
 	registry.report = report
 }
 
+// LogTo reports breaches to a log.
+func LogTo(log logrus.FieldLogger) {
+	OnBreach(func(breach *BreachError) {
+		log.WithField("invariant", breach.Name).WithField("detail", breach.Detail).Error("invariant breached")
+	})
+}
+
 // Check records a breach of the invariant unless ok is true. Its arguments are
 // allocated at every check; on the way of a call use Breached.
 func Check(ok bool, name Name, format string, args ...any) {
