--- /dev/null
+++ b/internal/callerserver/events.go
@@ -0,0 +1,98 @@
+package callerserver
+
+import (
+	"net"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// OnBoot implements gnet.EventHandler.
+func (s *Server) OnBoot(engine gnet.Engine) gnet.Action {
+	s.engine = engine
+	close(s.started)
+	return gnet.None
+}
+
+// OnOpen implements gnet.EventHandler.
+func (s *Server) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
+	if enrolled, ok := conn.Context().(Enrolled); ok {
+		return nil, enrolled.Opened(conn)
+	}
+	select {
+	case s.loop <- conn.EventLoop():
+	default:
+	}
+	state := &connState{open: true, callerIP: ipOf(conn.RemoteAddr())}
+	if s.crowded(s.open.Add(1)) {
+		conn.SetContext(state)
+		return s.turnAway(), gnet.Close
+	}
+	state.waitingSince.Store(time.Now().UnixNano())
+	conn.SetContext(state)
+	s.conns.Store(conn, state)
+	return nil, gnet.None
+}
+
+// ipOf returns the IP of an address without its port.
+func ipOf(address net.Addr) string {
+	if tcp, ok := address.(*net.TCPAddr); ok {
+		return tcp.IP.String()
+	}
+	return address.String()
+}
+
+// OnClose implements gnet.EventHandler.
+func (s *Server) OnClose(conn gnet.Conn, err error) gnet.Action {
+	if enrolled, ok := conn.Context().(Enrolled); ok {
+		enrolled.Closed(err)
+		return gnet.None
+	}
+	s.conns.Delete(conn)
+	s.open.Add(-1)
+	state := conn.Context().(*connState)
+	state.open = false
+	s.account(state, 0)
+	exchange := state.exchange
+	state.exchange = nil
+	switch {
+	case exchange == nil:
+	case state.phase.Load() == phaseFlushing:
+		s.inFlight.Add(-1)
+	default:
+		exchange.callerGone()
+	}
+	s.dropBehind(state)
+	return gnet.None
+}
+
+// OnTick implements gnet.EventHandler: it closes connections of callers that
+// take too long.
+func (s *Server) OnTick() (time.Duration, gnet.Action) {
+	now := time.Now()
+	s.conns.Range(func(key, value any) bool {
+		if s.overdue(value.(*connState), now) {
+			_ = key.(gnet.Conn).Close()
+		}
+		return true
+	})
+	return sweepInterval, gnet.None
+}
+
+func (s *Server) overdue(state *connState, now time.Time) bool {
+	since := state.waitingSince.Load()
+	if since == 0 {
+		return false
+	}
+	limits := s.limits.Load()
+	limit := limits.IdleTimeout
+	switch state.phase.Load() {
+	case phasePartial:
+		limit = limits.SendTimeout
+	case phaseFlushing:
+		limit = flushLimit
+	case phaseClosing:
+		limit = lingerLimit
+	}
+	return now.Sub(time.Unix(0, since)) > limit
+}
--- /dev/null
+++ b/internal/dispatch/hedge.go
@@ -0,0 +1,29 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// hedge starts an attempt beside the live one if the budgets allow it. A call
+// that could have waited is hedged only at a target with a free slot.
+func (s *Scheduler) hedge(now time.Time, call *Call) {
+	if !call.mayStart() || !s.hedges.available() {
+		return
+	}
+	if m := s.pick(now, call, call.mayWait()); m != nil {
+		s.hedges.spend()
+		s.start(now, call, m, true)
+	}
+}
+
+// StopHedging keeps a call from being hedged while the driver looks into the end
+// of one of its attempts. The returned actions are valid until the next event.
+func (s *Scheduler) StopHedging(_ time.Time, call *Call) []Action {
+	s.actions = s.actions[:0]
+	if call.state.done || call.state.hedgeAt.IsZero() {
+		return s.actions
+	}
+	call.state.hedgeAt = time.Time{}
+	s.schedule(call)
+	return s.actions
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -36,88 +36,6 @@
 // Content identifies the content of a request.
 type Content uint64
 
-// Death is the death of a target while it ran a request.
-type Death struct {
-	Target string `json:"target"`
-	// Began is when the request was sent to the target.
-	Began time.Time `json:"began"`
-	At    time.Time `json:"at"`
-}
-
-// same reports whether two requests ended by one death: both were at the target
-// together. A request that was sent after a death met a target that had been
-// started again.
-func (d Death) same(other Death) bool {
-	return d.Target == other.Target && !d.Began.After(other.At) && !other.Began.After(d.At)
-}
-
-// Suspect is content that was at a target when it died.
-type Suspect struct {
-	Content Content `json:"content,string"`
-	Service string  `json:"service"`
-	Type    string  `json:"type"`
-	Deaths  []Death `json:"deaths"`
-	// Quarantined is set once the limit is reached.
-	Quarantined bool `json:"quarantined"`
-}
-
-// newest returns the time of the last death.
-func (s *Suspect) newest() time.Time {
-	var last time.Time
-	for _, death := range s.Deaths {
-		if death.At.After(last) {
-			last = death.At
-		}
-	}
-	return last
-}
-
-// Expired reports whether the suspect's deaths don't count any more.
-func (s *Suspect) Expired(now time.Time) bool { return now.Sub(s.newest()) >= Expiry }
-
-// add adds a death unless it is known.
-func (s *Suspect) add(death Death) {
-	if s.knows(death) {
-		return
-	}
-	s.Deaths = append(s.Deaths, death)
-}
-
-// has reports whether the content was at every death of another suspect.
-func (s *Suspect) has(deaths []Death) bool {
-	for _, death := range deaths {
-		if !s.knows(death) {
-			return false
-		}
-	}
-	return true
-}
-
-func (s *Suspect) knows(death Death) bool {
-	for _, known := range s.Deaths {
-		if known.same(death) {
-			return true
-		}
-	}
-	return false
-}
-
-// independent counts the deaths that one after the other speak against the
-// content: each by a request that was sent after the death before. Targets that
-// die together while they run the same content count as one.
-func (s *Suspect) independent() int {
-	sort.Slice(s.Deaths, func(i, j int) bool { return s.Deaths[i].At.Before(s.Deaths[j].At) })
-	count := 0
-	var last time.Time
-	for _, death := range s.Deaths {
-		if !death.Began.Before(last) {
-			count++
-			last = death.At
-		}
-	}
-	return count
-}
-
 // Run is one request whose target died under it.
 type Run struct {
 	Content Content
@@ -139,18 +57,6 @@
 	groups   []*group
 }
 
-// group holds the requests that waited for one death to be explained.
-type group struct {
-	target string
-	at     time.Time
-	// turn is the content that is being run, until turnEnd.
-	turn    Content
-	taken   bool
-	turnEnd time.Time
-	members map[Content]bool
-	waiting []*Run
-}
-
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker { return &Tracker{suspects: map[Content]*Suspect{}} }
 
@@ -195,27 +101,6 @@
 	return w.copy(suspect)
 }
 
-// Died takes the end of a request by the death of its target. It returns what to
-// tell other daemons, and the runs to resume.
-func (w *Tracker) Died(now time.Time, run *Run) (Suspect, []Resumed) {
-	suspect := w.Record(now, run)
-	var resumed []Resumed
-	if suspect.Quarantined {
-		resumed = w.explain(run.Content)
-		return suspect, append(resumed, Resumed{Run: run, Allowed: false})
-	}
-	g := w.groupOf(now, run.Target)
-	g.members[run.Content] = true
-	g.waiting = append(g.waiting, run)
-	return suspect, w.next(now, g)
-}
-
-// Resumed is a run that may be tried again, or must not be.
-type Resumed struct {
-	Run     *Run
-	Allowed bool
-}
-
 func (w *Tracker) suspect(now time.Time, run *Run) *Suspect {
 	suspect := w.find(now, run.Content)
 	if suspect == nil {
@@ -240,85 +125,6 @@
 	delete(w.suspects, oldest.Content)
 }
 
-func (w *Tracker) groupOf(now time.Time, target string) *group {
-	for _, g := range w.groups {
-		if g.target == target && now.Sub(g.at) < groupTime {
-			return g
-		}
-	}
-	g := &group{target: target, at: now, members: map[Content]bool{}}
-	w.groups = append(w.groups, g)
-	return g
-}
-
-// next gives the turn to the next waiting content. Requests of the same content
-// take their turn together.
-func (w *Tracker) next(now time.Time, g *group) []Resumed {
-	if len(g.waiting) == 0 {
-		return nil
-	}
-	if !g.taken {
-		g.taken = true
-		g.turn = g.waiting[0].Content
-		g.turnEnd = now.Add(turnLimit)
-	}
-	var resumed []Resumed
-	var left []*Run
-	for _, run := range g.waiting {
-		switch {
-		case w.Quarantined(now, run.Content):
-			resumed = append(resumed, Resumed{Run: run, Allowed: false})
-		case run.Content == g.turn:
-			resumed = append(resumed, Resumed{Run: run, Allowed: true})
-		default:
-			left = append(left, run)
-		}
-	}
-	g.waiting = left
-	if w.Quarantined(now, g.turn) {
-		g.taken = false
-		return append(resumed, w.next(now, g)...)
-	}
-	return resumed
-}
-
-// Ended takes the end of a request. Answered is set if a target answered it,
-// which clears its content. It returns whether it did, and the runs to resume.
-func (w *Tracker) Ended(now time.Time, content Content, answered bool) (bool, []Resumed) {
-	cleared := answered && w.Lift(content)
-	var resumed []Resumed
-	for _, g := range w.groups {
-		resumed = append(resumed, w.endTurn(now, g, content)...)
-	}
-	return cleared, resumed
-}
-
-func (w *Tracker) endTurn(now time.Time, g *group, content Content) []Resumed {
-	if !g.taken || g.turn != content {
-		return nil
-	}
-	g.taken = false
-	return w.next(now, g)
-}
-
-// explain lets the requests go on that waited because they shared a death with
-// quarantined content.
-func (w *Tracker) explain(content Content) []Resumed {
-	var resumed []Resumed
-	var left []*group
-	for _, g := range w.groups {
-		if !g.members[content] {
-			left = append(left, g)
-			continue
-		}
-		for _, run := range g.waiting {
-			resumed = append(resumed, Resumed{Run: run, Allowed: run.Content != content})
-		}
-	}
-	w.groups = left
-	return resumed
-}
-
 func (w *Tracker) copy(s *Suspect) Suspect {
 	copied := *s
 	copied.Deaths = append([]Death(nil), s.Deaths...)
--- a/internal/rollout/follower.go
+++ b/internal/rollout/follower.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -11,7 +10,6 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/backoff"
 	"github.com/poplarwheel/poplarwheel/internal/config"
-	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 )
 
@@ -68,42 +66,6 @@
 // Applied returns the configuration in force.
 func (f *Follower) Applied() *Applied { return f.applied.Load() }
 
-// Status is the follower's state for dumps.
-type Status struct {
-	Revision uint64 `json:"revision"`
-	// Source is "platform" or the name of the peer that gave the revision.
-	Source     string           `json:"source"`
-	AppliedAt  time.Time        `json:"applied_at"`
-	AcceptedBy string           `json:"accepted_by"`
-	AcceptedAt time.Time        `json:"accepted_at"`
-	AcceptID   string           `json:"accept_id"`
-	Version    platform.Version `json:"platform_version"`
-	Services   int              `json:"services"`
-	// ReadFailures counts failed reads of the platform since the last success.
-	ReadFailures int `json:"read_failures"`
-	// HighestAtPeers is the highest revision heard of.
-	HighestAtPeers uint64 `json:"highest_at_peers"`
-}
-
-// Status returns the state of the follower.
-func (f *Follower) Status() Status {
-	applied := f.applied.Load()
-	f.trackerMu.Lock()
-	defer f.trackerMu.Unlock()
-	return Status{
-		Revision:       applied.Head.Revision,
-		Source:         applied.Source,
-		AppliedAt:      applied.At,
-		AcceptedBy:     applied.Head.AcceptedBy,
-		AcceptedAt:     applied.Head.AcceptedAt,
-		AcceptID:       applied.Head.AcceptID,
-		Version:        applied.Version,
-		Services:       len(applied.Head.Services),
-		ReadFailures:   f.tracker.PlatformFailures(),
-		HighestAtPeers: f.tracker.highestAtPeers(),
-	}
-}
-
 // PeerAt takes word that a peer has a revision in force.
 func (f *Follower) PeerAt(peer string, revision uint64) {
 	f.trackerMu.Lock()
@@ -254,85 +216,3 @@
 	}
 	return f.offer(head, version, peer)
 }
-
-// offer brings a head into force unless it isn't newer than the one in force.
-func (f *Follower) offer(head Head, version platform.Version, source string) (advanced bool, err error) {
-	f.applyMu.Lock()
-	defer f.applyMu.Unlock()
-	current := f.applied.Load()
-	f.trackerMu.Lock()
-	advances := f.tracker.Advances(head.Revision)
-	from := f.tracker.PeersAt(head.Revision)
-	f.trackerMu.Unlock()
-	if !advances {
-		return false, f.compare(head, version, current)
-	}
-	if source != SourcePlatform {
-		from = append([]string{source}, from...)
-	}
-	bodies, err := f.loader.load(head, current, from, source == SourcePlatform)
-	if err != nil {
-		return false, err
-	}
-	f.commit(&Applied{Head: head, Version: version, Source: source, At: time.Now(), Bodies: bodies})
-	return true, nil
-}
-
-// compare checks a head that isn't newer. A platform that shows an older one, as
-// after a restore from a backup, is reported and not followed.
-func (f *Follower) compare(head Head, version platform.Version, current *Applied) error {
-	if head.Revision == current.Head.Revision {
-		invariant.Check(head.AcceptID == current.Head.AcceptID, invariant.RevisionUnique,
-			"revision %d has acceptances %s and %s", head.Revision, head.AcceptID, current.Head.AcceptID)
-		return nil
-	}
-	if version > current.Version {
-		return &OlderHeadError{Offered: head.Revision, Current: current.Head.Revision}
-	}
-	return nil
-}
-
-func (f *Follower) commit(next *Applied) {
-	previous := f.applied.Load().Head.Revision
-	invariant.Check(next.Head.Revision > previous, invariant.RevisionGrows,
-		"revision %d follows %d", next.Head.Revision, previous)
-	f.apply(next.Snapshot())
-	f.applied.Store(next)
-	f.trackerMu.Lock()
-	f.tracker.Applied(time.Now(), next.Head.Revision)
-	f.trackerMu.Unlock()
-	f.log.WithField("revision", next.Head.Revision).
-		WithField("source", next.Source).
-		WithField("services", len(next.Head.Services)).
-		Info("configuration applied")
-}
-
-// ServeHead returns the head object in force with its platform version, for
-// peers. The value is nil before the first acceptance.
-func (f *Follower) ServeHead() ([]byte, platform.Version, error) {
-	applied := f.applied.Load()
-	if applied.Head.Revision == 0 {
-		return nil, 0, nil
-	}
-	value, err := json.Marshal(applied.Head)
-	return value, applied.Version, err
-}
-
-// ServeBodies returns the bodies in force that refs name, up to limit bytes in
-// all, for peers.
-func (f *Follower) ServeBodies(refs []ServiceRef, limit int) map[string][]byte {
-	applied := f.applied.Load()
-	bodies := map[string][]byte{}
-	for _, ref := range refs {
-		body := applied.Body(ref)
-		if body == nil {
-			continue
-		}
-		limit -= len(body.Encoded)
-		if limit < 0 && len(bodies) > 0 {
-			break
-		}
-		bodies[ref.Name] = body.Encoded
-	}
-	return bodies
-}
