Keep the order of a zone's daemons between changes; one record a kind in the relay

The roster sorted the zone's daemons anew on each question, several times within one event; the relay kept two maps by kind. Behaviour is the same; the packages' tests pass.

--- a/internal/heartbeat/naming.go
+++ b/internal/heartbeat/naming.go
@@ -21,7 +21,7 @@
 	var serving []Member
 	placed := r.self.State != Ready
 	for _, known := range r.ranked() {
-		if !placed && r.self.before(known.Member) {
+		if !placed && r.self.compare(known.Member) < 0 {
 			serving = append(serving, r.self)
 			placed = true
 		}
--- a/internal/heartbeat/outside.go
+++ b/internal/heartbeat/outside.go
@@ -44,12 +44,7 @@
 		return
 	}
 	o.members = append(o.members, member)
-	slices.SortFunc(o.members, func(a, b Member) int {
-		if a.before(b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(o.members, Member.compare)
 }
 
 // OutsideDue returns the members of other zones that have to be asked now, and takes
--- a/internal/heartbeat/roster.go
+++ b/internal/heartbeat/roster.go
@@ -2,10 +2,14 @@
 //
 // Daemons of a zone ask one another by datagrams, the few that callers are sent to
 // more often than the others. Which few that is follows from the sizes of their VMs,
-// the zone's load and their names, so that all daemons name the same ones. Roster is a plain state machine; Node drives it.
+// the zone's load and their names, so that all daemons name the same ones. While nobody
+// of the zone serves, those of other zones are named. Roster is a plain state machine;
+// Node drives it.
 package heartbeat
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,16 +60,14 @@
 	Load     float64 `json:"load"`
 }
 
-// before orders members as they are named: the largest first, then by a hash of their
+// compare orders members as they are named: the largest first, then by a hash of their
 // names, so that all daemons name the same ones.
-func (m Member) before(other Member) bool {
-	if m.Capacity != other.Capacity {
-		return m.Capacity > other.Capacity
-	}
-	if a, b := rankOf(m.Name), rankOf(other.Name); a != b {
-		return a < b
-	}
-	return m.Name < other.Name
+func (m Member) compare(other Member) int {
+	return cmp.Or(
+		cmp.Compare(other.Capacity, m.Capacity),
+		cmp.Compare(rankOf(m.Name), rankOf(other.Name)),
+		cmp.Compare(m.Name, other.Name),
+	)
 }
 
 // record is what is known of a member.
@@ -84,6 +86,9 @@
 	self    Member
 	size    int
 	records map[string]*record
+	// order holds the records in the order in which they are named; nil until it is
+	// asked for again after a change.
+	order []*record
 	// outside are the other availability zones.
 	outside []*outside
 }
@@ -122,6 +127,7 @@
 		known = &record{Member: member, known: now}
 		known.State = Starting
 		r.records[member.Name] = known
+		r.order = nil
 	}
 	if member.Born < known.Born {
 		return nil
@@ -138,6 +144,9 @@
 	if known.State != Leaving {
 		known.State = member.State
 	}
+	if known.Capacity != member.Capacity {
+		r.order = nil
+	}
 	known.Capacity, known.Load = member.Capacity, member.Load
 	known.heardAt = now
 	known.unanswered = time.Time{}
@@ -150,6 +159,7 @@
 	for i, known := range r.ranked() {
 		if r.forgotten(now, known) {
 			delete(r.records, known.Name)
+			r.order = nil
 			continue
 		}
 		every := restEvery
@@ -184,19 +194,15 @@
 	return k.unanswered.IsZero() || now.Sub(k.unanswered) < silentAfter
 }
 
-// ranked returns the records in the order in which they are named.
+// ranked returns the records in the order in which they are named. The caller must not
+// change it.
 func (r *Roster) ranked() []*record {
-	records := make([]*record, 0, len(r.records))
-	for _, known := range r.records {
-		records = append(records, known)
+	if r.order != nil {
+		return r.order
 	}
-	slices.SortFunc(records, func(a, b *record) int {
-		if a.before(b.Member) {
-			return -1
-		}
-		return 1
-	})
-	return records
+	r.order = slices.Collect(maps.Values(r.records))
+	slices.SortFunc(r.order, func(a, b *record) int { return a.compare(b.Member) })
+	return r.order
 }
 
 // Members returns the other daemons, as they are known.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,17 +71,15 @@
 type Store struct {
 	options  Options
 	replicas map[string]*replica
-	spared   map[string]bool
 }
 
 var _ feed.Store = (*Store)(nil)
 
 // New returns a store without replicas.
 func New(options Options) *Store {
-	s := &Store{options: options, replicas: map[string]*replica{}, spared: map[string]bool{}}
+	s := &Store{options: options, replicas: map[string]*replica{}}
 	for _, kind := range options.Kinds {
-		s.replicas[kind.Name] = newReplica()
-		s.spared[kind.Name] = kind.Spared
+		s.replicas[kind.Name] = newReplica(kind.Spared)
 	}
 	return s
 }
@@ -107,7 +105,7 @@
 	if copied == nil {
 		return s.options.Store.List(kind, stale)
 	}
-	if s.spares(kind) {
+	if s.spares(copied) {
 		if s.catchUp(kind, copied) {
 			objects, revision := copied.all()
 			return objects, revision, nil
@@ -130,8 +128,8 @@
 	return nil, 0, err
 }
 
-// spares reports whether the daemon reads a kind off others.
-func (s *Store) spares(kind string) bool { return s.spared[kind] && !s.options.Direct() }
+// spares reports whether the daemon reads the kind of a replica off others.
+func (s *Store) spares(copied *replica) bool { return copied.spared && !s.options.Direct() }
 
 // catchUp brings a replica up to date from others; false means that it can't. After an
 // outage they need a moment to list the objects themselves.
@@ -190,7 +188,7 @@
 	if copied == nil {
 		return s.options.Store.Watch(kind, revision, wait, stale)
 	}
-	if s.options.Away() || s.spares(kind) {
+	if s.options.Away() || s.spares(copied) {
 		copied.follow(false)
 		if events, next, err := s.watchOthers(kind, revision); err == nil {
 			copied.apply(events, next)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -135,7 +135,7 @@
 
 // A change wakes the followers at once.
 func TestWaitingFollowerIsWoken(t *testing.T) {
-	r := newReplica()
+	r := newReplica(false)
 	r.reset(nil, 5)
 	r.follow(true)
 	seen := make(chan watched)
@@ -299,7 +299,7 @@
 
 // A list after lost history is passed on as what has changed.
 func TestFollowersNeedNotListAgainAfterTheirSourceDid(t *testing.T) {
-	r := newReplica()
+	r := newReplica(false)
 	r.reset([]feed.Object{object("a", `1`), object("b", `1`), object("c", `1`)}, 5)
 	r.reset([]feed.Object{object("a", `1`), object("b", `2`), object("d", `1`)}, 9)
 	r.follow(true)
@@ -318,7 +318,7 @@
 
 // A replica's memory is bounded; who is too far behind lists again.
 func TestChangesAreForgottenAboveTheBound(t *testing.T) {
-	r := newReplica()
+	r := newReplica(false)
 	r.reset(nil, 1)
 	r.follow(true)
 	for i := range maxChanges + 10 {
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -22,6 +22,9 @@
 // replica is a daemon's copy of the objects of a kind with their last changes, for
 // daemons that follow this one. It is safe for concurrent use.
 type replica struct {
+	// spared is set if daemons that needn't read the store themselves follow others.
+	spared bool
+
 	mu      sync.Mutex
 	objects map[string]feed.Object
 	// revision is the one that objects shows, oldest the one after which all changes
@@ -34,8 +37,8 @@
 	news chan struct{}
 }
 
-func newReplica() *replica {
-	return &replica{objects: map[string]feed.Object{}, news: make(chan struct{})}
+func newReplica(spared bool) *replica {
+	return &replica{spared: spared, objects: map[string]feed.Object{}, news: make(chan struct{})}
 }
 
 // reset takes all objects. What differs counts as changed at their revision, so that
