--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,10 +12,14 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/zeebo/errs"
 
 	"github.com/poplarwheel/poplarwheel/internal/backoff"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("feed")
+
 const (
 	// pace is the pause between two watches, so that changes that come together
 	// cost one call.
@@ -62,7 +66,7 @@
 }
 
 // ErrHistoryGone means that the store has dropped what a watch asked for.
-var ErrHistoryGone = errors.New("feed: the store's history is gone")
+var ErrHistoryGone = Error.New("the store's history is gone")
 
 // Mirror takes the objects of a kind.
 type Mirror interface {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -5,16 +5,20 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
 
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("gateway")
+
 // probeTimeout bounds the wait for a target's word on its load.
 const probeTimeout = 40 * time.Millisecond
 
 // errProbeTimeout ends a question without an answer in time.
-var errProbeTimeout = errors.New("gateway: the target doesn't answer a question")
+var errProbeTimeout = Error.New("the target doesn't answer a question")
 
 // question asks a target at its health path.
 type question struct {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,13 +14,17 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("relay")
+
 const (
 	// watchWait is how long a daemon holds a watch without news.
 	watchWait = time.Second
@@ -35,7 +39,7 @@
 )
 
 // ErrUnavailable means that a daemon doesn't follow the store itself, or can't.
-var ErrUnavailable = errors.New("relay: the daemon doesn't follow the store")
+var ErrUnavailable = Error.New("the daemon doesn't follow the store")
 
 // Caller makes calls of the inner protocol. It is safe for concurrent use.
 type Caller interface {
--- a/internal/targetclient/errors.go
+++ b/internal/targetclient/errors.go
@@ -1,25 +1,26 @@
 package targetclient
 
 import (
-	"errors"
 	"fmt"
+
+	"github.com/zeebo/errs"
 )
 
 // Causes of the errors of attempts.
 var (
 	// ErrCanceled means that Attempt.Cancel was called.
-	ErrCanceled = errors.New("attempt canceled")
+	ErrCanceled = errs.New("attempt canceled")
 	// ErrTimeout means that the attempt's deadline has passed.
-	ErrTimeout = errors.New("attempt timed out")
+	ErrTimeout = errs.New("attempt timed out")
 	// ErrClosed means that the target closed the connection before a whole answer.
-	ErrClosed = errors.New("connection closed")
+	ErrClosed = errs.New("connection closed")
 	// ErrTooLarge means that the answer is above MaxAnswerBytes.
-	ErrTooLarge = errors.New("answer too large")
+	ErrTooLarge = errs.New("answer too large")
 	// ErrInterim means that the answer begins with too many interim responses.
-	ErrInterim = errors.New("too many interim responses")
+	ErrInterim = errs.New("too many interim responses")
 	// ErrNoLength means that the answer doesn't tell its length, so that a whole
 	// one can't be told from a part.
-	ErrNoLength = errors.New("answer without a length")
+	ErrNoLength = errs.New("answer without a length")
 )
 
 // NotSentError reports an attempt of which no byte has left.
