Let starting daemons ask targets without a bound until they serve

Cause: a daemon that starts isn't named yet, so its share of the rate of probes was a sixtieth of the deployment's until the next look at its shares, up to 500 ms later. After the loss of all machines its 47 probes were used up within some 15 requests, and the rest were placed after 60 ms without any report.

Change: no bound before the daemon serves.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 type Shares struct {
 	// Retries is the part of the fixed allowance of retries.
 	Retries float64
-	// Probes is the part of the rate of probes.
+	// Probes is the part of the rate of probes. 0 is no bound.
 	Probes float64
 	// Places is the part of the places at targets that don't tell their load.
 	Places placement.Part
--- a/internal/gatewayd/shares.go
+++ b/internal/gatewayd/shares.go
@@ -42,5 +42,9 @@
 		shares.Retries += namedRetries * each
 		shares.Probes += probeMargin * namedProbes * each
 	}
+	if !d.serving.Load() && !d.leaving.Load() {
+		// Its place in the zone isn't known yet, and it may have to serve at any moment.
+		shares.Probes = 0
+	}
 	return shares
 }
