--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,6 +16,9 @@
 	reportFresh = 4 * time.Millisecond
 	// reportUseful is how long the load of other daemons in a report counts.
 	reportUseful = 150 * time.Millisecond
+	// slownessFades is the time in which what a report told of a target's speed fades to
+	// a third.
+	slownessFades = 150 * time.Millisecond
 	// usualSlowness stands for targets of which no recent report is known.
 	usualSlowness = 1.6
 	// coldFactor is the slowness of a target that has just started.
@@ -146,6 +150,9 @@
 		slowness = t.guessed(now)
 	case t.fresh(now):
 		slowness = t.report.Slowness
+	case t.reported:
+		faded := math.Exp(-now.Sub(t.reportedAt).Seconds() / slownessFades.Seconds())
+		slowness += faded * (t.report.Slowness - slowness)
 	}
 	if now.Before(t.coldUntil) {
 		slowness *= coldFactor
