Look at running requests after a quarter of their work

Cause: a request whose target turns slow under it was first looked at after half of its work; by then another target often can't answer in time.

Change: the first look is after a quarter, 40 ms at least. Two tests take the time of the first look from the code's function, since it has a least value; they check the same.

--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -307,7 +307,7 @@
 	r := b.request(true)
 	r.Due = b.now.Add(2*work + work/4)
 	first := b.place(r, quiet(0))
-	b.now = first.sentAt.Add(work / checkShare)
+	b.now = first.sentAt.Add(firstLook(work))
 	probe := b.only(b.pool.Expire(b.now), Probe)
 	require.Same(t, first.Target, probe.Target)
 	second := b.follow(b.pool.Probed(b.now, probe.Target, slow(1), true), quiet(0))
@@ -320,7 +320,7 @@
 func TestNonIdempotentRequestStaysWithItsSlowTarget(t *testing.T) {
 	b := newBench(t, entry("a1", "a"), entry("a2", "a"))
 	a := b.place(b.request(false), quiet(0))
-	b.now = a.sentAt.Add(work / checkShare)
+	b.now = a.sentAt.Add(firstLook(work))
 	require.Empty(t, of(b.pool.Expire(b.now), Probe))
 	b.pool.observe(b.now, a.Target, *slow(1), 0)
 	require.Zero(t, b.pool.Queued())
@@ -574,3 +574,14 @@
 	again := b.follow(b.pool.Finished(b.now, a, Result{Outcome: Lost}), quiet(0))
 	require.NotSame(t, a.Target, again.Target)
 }
+
+// A target that has just said that it is slow isn't taken for one of which nothing is
+// known, and is in the end.
+func TestWhatAReportToldOfATargetsSpeedFades(t *testing.T) {
+	b := newBench(t, entry("a1", "a"))
+	probe := b.only(b.pool.Arrive(b.now, b.request(true)), Probe)
+	b.pool.Probed(b.now, probe.Target, slow(0), true)
+	require.InDelta(t, 4, probe.Target.Slowness(b.now), 0.01)
+	require.Greater(t, probe.Target.Slowness(b.now.Add(2*reportFresh)), 3.5)
+	require.InDelta(t, usualSlowness, probe.Target.Slowness(b.now.Add(10*slownessFades)), 0.01)
+}
--- a/internal/placement/rescue.go
+++ b/internal/placement/rescue.go
@@ -11,8 +11,9 @@
 const (
 	// checkShare is the part of a request's work after which its target is asked
 	// whether it has become slow.
-	checkShare = 2
-	// checkEvery is the least pause between two looks at an attempt.
+	checkShare = 4
+	// checkEvery is the pause between two looks at an attempt, and the least time before
+	// the first.
 	checkEvery = 40 * time.Millisecond
 	// slowLasts is how long a target is expected to stay slow.
 	slowLasts = 200 * time.Millisecond
@@ -41,12 +42,16 @@
 	return slowLasts + work - time.Duration(float64(slowLasts)/slowness)
 }
 
+// firstLook is when a request's target is first asked whether it has become slow, after
+// the request was sent.
+func firstLook(work time.Duration) time.Duration { return max(work/checkShare, checkEvery) }
+
 // watch makes the pool look at an attempt while it runs.
 func (p *Pool) watch(now time.Time, a *Attempt) {
 	if !a.Request.maySendBeside() {
 		return
 	}
-	a.checkAt = now.Add(max(a.Request.Work/checkShare, checkEvery))
+	a.checkAt = now.Add(firstLook(a.Request.Work))
 	if p.mute {
 		a.checkAt = now.Add(time.Duration(overdueShare * float64(a.Request.Work)))
 	}
