--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 )
@@ -16,8 +18,8 @@
 	tellWait = 25 * time.Millisecond
 	// tellTimeout bounds a message about a suspect.
 	tellTimeout = time.Second
-	// maxTells bounds the suspects that others are being told of at once. Above it
-	// requests are tried again without telling.
+	// maxTells bounds what others are being told at once. Above it requests are tried
+	// again without telling.
 	maxTells = 32
 	// toldOutside is the number of daemons of each other zone that are told, which tell
 	// the others there.
@@ -34,13 +36,17 @@
 	daemon  *Daemon
 	client  *peer.Client
 	telling chan struct{}
+
+	mu sync.Mutex
+	// kept are the contents that this daemon has kept on the platform.
+	kept map[quarantine.Content]bool
 }
 
 var _ quarantine.Peers = (*quarantinePeers)(nil)
 
 // startQuarantine sets up what watches for requests that crash targets.
 func (d *Daemon) startQuarantine(client *peer.Client, server *peer.Server) {
-	peers := &quarantinePeers{daemon: d, client: client, telling: make(chan struct{}, maxTells)}
+	peers := &quarantinePeers{daemon: d, client: client, telling: make(chan struct{}, maxTells), kept: map[quarantine.Content]bool{}}
 	d.quarantine = quarantine.NewKeeper(peers)
 	d.gateway.SetQuarantine(d.quarantine)
 	server.Register(peer.MethodSuspect, peers.serveSuspect)
@@ -81,34 +87,51 @@
 
 // Tell implements quarantine.Peers.
 func (p *quarantinePeers) Tell(suspect quarantine.Suspect, done func()) {
-	p.daemon.log.WithField("content", uint64(suspect.Content)).WithField("service", suspect.Service).WithField("route", suspect.Type).
-		WithField("deaths", len(suspect.Deaths)).WithField("quarantined", suspect.Quarantined).Warn("target died while it ran a request")
+	p.daemon.log.WithFields(logrus.Fields{
+		"content":     uint64(suspect.Content),
+		"service":     suspect.Service,
+		"route":       suspect.Type,
+		"deaths":      len(suspect.Deaths),
+		"quarantined": suspect.Quarantined,
+	}).Warn("target died while it ran a request")
 	if suspect.Quarantined {
 		go p.keep(suspect)
 	}
+	suspects := []quarantine.Suspect{suspect}
+	p.tellAll(peer.MethodSuspect, peer.Suspects{Suspects: suspects}, peer.Suspects{Suspects: suspects, Relay: true}, done)
+}
+
+// Lift implements quarantine.Peers.
+func (p *quarantinePeers) Lift(content quarantine.Content) {
+	p.tellAll(peer.MethodLift, peer.Lift{Content: content}, peer.Lift{Content: content, Relay: true}, func() {})
+	p.mu.Lock()
+	kept := p.kept[content]
+	delete(p.kept, content)
+	p.mu.Unlock()
+	if kept {
+		go p.daemon.release(content)
+	}
+}
+
+// tellAll tells other daemons, unless too much is being told already. It doesn't wait.
+// Done is called once all have answered, or after a while.
+func (p *quarantinePeers) tellAll(method string, inside, outside any, done func()) {
 	select {
 	case p.telling <- struct{}{}:
 	default:
-		p.daemon.log.WithField("content", uint64(suspect.Content)).Warn("other daemons not told")
+		p.daemon.log.WithField("method", method).Warn("other daemons not told")
 		go done()
 		return
 	}
 	go func() {
 		defer func() { <-p.telling }()
-		message := peer.Suspects{Suspects: []quarantine.Suspect{suspect}}
-		p.tellAll(peer.MethodSuspect, message, peer.Suspects{Suspects: message.Suspects, Relay: true}, done)
+		p.tellEach(method, inside, outside, done)
 	}()
 }
 
-// Lift implements quarantine.Peers.
-func (p *quarantinePeers) Lift(content quarantine.Content) {
-	go p.tellAll(peer.MethodLift, peer.Lift{Content: content}, peer.Lift{Content: content, Relay: true}, func() {})
-	go p.daemon.release(content)
-}
-
-// tellAll tells the daemons of the zone that serve callers, and a few of each other zone,
-// which pass it on. Done is called once all have answered, or after a while.
-func (p *quarantinePeers) tellAll(method string, inside, outside any, done func()) {
+// tellEach tells the daemons of the zone that serve callers, and a few of each other zone,
+// which pass it on.
+func (p *quarantinePeers) tellEach(method string, inside, outside any, done func()) {
 	var told sync.WaitGroup
 	for _, address := range p.daemon.node.ActivePeers() {
 		told.Go(func() { p.tell(address, method, inside) })
@@ -141,6 +164,9 @@
 	for range keepTries {
 		err := p.daemon.platform.Quarantine(suspect)
 		if err == nil {
+			p.mu.Lock()
+			p.kept[suspect.Content] = true
+			p.mu.Unlock()
 			return
 		}
 		p.daemon.log.WithError(err).WithField("content", uint64(suspect.Content)).Warn("quarantine not kept")
