--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,7 +63,6 @@
 	result := c.gateway.resultOf(response, err)
 	if c.gateway.quarantine != nil && mayHaveDied(err) {
 		c.gateway.log.attemptFailed(a, result, err)
-		c.suspected = c.content()
 		a.suspect(result)
 		return
 	}
@@ -110,8 +109,8 @@
 // learnWork takes the time of a good answer. Answers of targets that don't tell how slow
 // they are lead to the median, as most come at the usual speed.
 func (a *attempt) learnWork(took time.Duration, told bool) {
+	state := a.call.state
 	if !told {
-		state := a.call.state
 		step := time.Duration(workStep * float64(state.work))
 		if took < state.work {
 			step = -step
@@ -120,7 +119,6 @@
 		return
 	}
 	sample := float64(took) / max(a.decision.Slowness, 1)
-	state := a.call.state
 	state.work += time.Duration(workWeight * (sample - float64(state.work)))
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,7 +8,6 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
-	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -33,8 +32,6 @@
 	// patience is how long the caller waits.
 	patience time.Duration
 	over     bool
-	// suspected identifies what the call asks for once a target may have died of it.
-	suspected quarantine.Content
 }
 
 // find returns the route of a request, nil if there is none.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -48,3 +48,8 @@
 	// Report is the target's load, nil if it doesn't tell.
 	Report *placement.Report
 }
+
+// isOf reports whether the answer can be that of a target.
+func (m ProbeMeaning) isOf(target *placement.Target) bool {
+	return m.Target == "" || m.Target == target.ID
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+	"github.com/zeebo/errs"
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
@@ -23,6 +24,9 @@
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
+// Error is the class of this package's errors.
+var Error = errs.Class("gateway")
+
 const (
 	// targetIdleLimit is how long an idle connection to a target is kept.
 	targetIdleLimit = 8 * time.Second
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -5,15 +5,11 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"github.com/zeebo/errs"
 
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
-// Error is the class of this package's errors.
-var Error = errs.Class("gateway")
-
 // probeTimeout bounds the wait for a target's word on its load.
 const probeTimeout = 40 * time.Millisecond
 
@@ -79,7 +75,7 @@
 		return pool.ProbeFailed(now, target, errors.As(err, &notSent))
 	}
 	meaning := g.options.Dialect.ProbeAnswer(response)
-	if meaning.Target != "" && meaning.Target != target.ID {
+	if !meaning.isOf(target) {
 		return pool.Misplaced(now, target)
 	}
 	return pool.Probed(now, target, meaning.Report, meaning.Healthy)
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -55,7 +55,7 @@
 	}
 	target := a.decision.Target
 	c.gateway.ask(c.service, target.Address, func(now time.Time, response *fasthttp.Response, err error) {
-		if err == nil && c.gateway.answers(target, response) {
+		if err == nil && c.gateway.options.Dialect.ProbeAnswer(response).isOf(target) {
 			if held {
 				a.conclude(now, result)
 			}
@@ -65,17 +65,11 @@
 	})
 }
 
-// answers reports whether a response is that of a target.
-func (g *Gateway) answers(target *placement.Target, response *fasthttp.Response) bool {
-	id := g.options.Dialect.ProbeAnswer(response).Target
-	return id == "" || id == target.ID
-}
-
 // targetDied counts the death of the attempt's target.
 func (a *attempt) targetDied(now time.Time, held bool, result placement.Result) {
 	c := a.call
 	c.gateway.quarantine.Record(now, &quarantine.Run{
-		Content: c.suspected,
+		Content: c.content(),
 		Service: c.service.name,
 		Type:    c.route.Name,
 		Target:  a.decision.Target.ID,
--- a/internal/gatewayd/admin.go
+++ b/internal/gatewayd/admin.go
@@ -37,7 +37,8 @@
 	InFlight int64 `json:"in_flight"`
 	// PlatformAway is set while the platform doesn't answer.
 	PlatformAway bool `json:"platform_away"`
-	// Named are the entry VMs of the zone that callers are sent to.
+	// Named are the entry VMs that callers are sent to: those of other zones while nobody
+	// of the own serves.
 	Named   []string           `json:"named"`
 	Members []heartbeat.Member `json:"members"`
 	// Suspects are contents of requests at which targets died.
@@ -109,7 +110,7 @@
 	awayDesc     = description("platform_away", "1 while the platform doesn't answer.")
 	breachesDesc = description("invariant_breaches_total", "Breaches of what must always hold, by invariant.", "invariant")
 	suspectsDesc = description("suspects", "Contents of requests at which targets died, by state.", "state")
-	namedDesc    = description("named", "Entry VMs of the zone that callers are sent to.")
+	namedDesc    = description("named", "Entry VMs that callers of the zone are sent to, of other zones if nobody of it serves.")
 )
 
 // Describe implements prometheus.Collector.
--- a/internal/heartbeat/naming.go
+++ b/internal/heartbeat/naming.go
@@ -84,8 +84,13 @@
 // would be next.
 func (r *Roster) ActivePeers(now time.Time) []string {
 	named, next := r.active(now)
+	return r.peersOf(named, next)
+}
+
+// peersOf returns the "ip:port" of members, this daemon's own left out.
+func (r *Roster) peersOf(members ...[]Member) []string {
 	var peers []string
-	for _, member := range slices.Concat(named, next) {
+	for _, member := range slices.Concat(members...) {
 		if !r.isSelf(member) {
 			peers = append(peers, member.Peer)
 		}
@@ -97,12 +102,7 @@
 // that no callers are sent to. They are of other zones if the own has none.
 func (r *Roster) Sources(now time.Time) []string {
 	named, next := r.active(now)
-	var sources []string
-	for _, member := range slices.Concat(next, named) {
-		if !r.isSelf(member) {
-			sources = append(sources, member.Peer)
-		}
-	}
+	sources := r.peersOf(next, named)
 	if len(sources) == 0 {
 		sources = r.contacts(now)
 	}
--- a/internal/placement/blind.go
+++ b/internal/placement/blind.go
@@ -36,8 +36,13 @@
 	if g.at.IsZero() {
 		return 1
 	}
-	faded := math.Exp(-now.Sub(g.at).Seconds() / guessFades.Seconds())
-	return 1 + faded*(g.slowness-1)
+	return fade(g.slowness, 1, now.Sub(g.at), guessFades)
+}
+
+// fade returns what is left of a figure that was seen some time ago and goes to another
+// one. A third of the difference is left after the time in which it fades.
+func fade(seen, usual float64, age, fades time.Duration) float64 {
+	return usual + math.Exp(-age.Seconds()/fades.Seconds())*(seen-usual)
 }
 
 // guessed estimates the slowness of a target that doesn't tell it.
@@ -77,4 +82,5 @@
 	for _, t := range p.list {
 		t.mute = mute
 	}
+	p.deal()
 }
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -22,8 +22,12 @@
 	zone   string
 }
 
-// deal counts for each target the places that belong to this daemon.
+// deal counts for each target the places that belong to this daemon. They matter only
+// while targets are mute.
 func (p *Pool) deal() {
+	if !p.mute {
+		return
+	}
 	places := dealToZones(p.list, p.zoneNames())
 	for _, t := range p.list {
 		t.places = 0
--- a/internal/placement/places_test.go
+++ b/internal/placement/places_test.go
@@ -27,6 +27,7 @@
 			ofZone := 0
 			for index := range daemons {
 				pool := NewPool(nil, zone, Budget{})
+				pool.setMute(true)
 				pool.SetZones(zones)
 				pool.SetPart(Part{Index: index, Of: daemons})
 				pool.Update(start, entries)
@@ -45,6 +46,7 @@
 
 func TestPlacesOfTheOwnZoneAreDealtFirst(t *testing.T) {
 	pool := NewPool(nil, "a", Budget{})
+	pool.setMute(true)
 	pool.SetZones([]string{"a", "b"})
 	pool.Update(start, []Entry{entry("a1", "a"), entry("b1", "b"), entry("a2", "a"), entry("b2", "b")})
 	for _, target := range pool.Targets() {
@@ -56,6 +58,7 @@
 	leaving := entry("a1", "a")
 	leaving.Draining = true
 	pool := NewPool(nil, "a", Budget{})
+	pool.setMute(true)
 	pool.SetZones([]string{"a", "b"})
 	pool.Update(start, []Entry{leaving, entry("b1", "b"), entry("b2", "b")})
 	places := 0
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -151,8 +150,7 @@
 	case t.fresh(now):
 		slowness = t.report.Slowness
 	case t.reported:
-		faded := math.Exp(-now.Sub(t.reportedAt).Seconds() / slownessFades.Seconds())
-		slowness += faded * (t.report.Slowness - slowness)
+		slowness = fade(t.report.Slowness, usualSlowness, now.Sub(t.reportedAt), slownessFades)
 	}
 	if now.Before(t.coldUntil) {
 		slowness *= coldFactor
