Send content that killed a target only while the count of deaths is known

Cause: a daemon noticed the death of a target only after the health check (up to 40 ms), told the others after that, and sent the content again after 25 ms whoever had answered. Deaths counted from the end of the check, so copies sent meanwhile counted as one. Load only made the check take long.

Change: content is undecided from the moment the connection closes; a suspected content is sent by a claim only, which all daemons that serve must have answered; relays answer for their zone. On the own interface a harmless content whose deaths another daemon explains late is decided again after 150 ms, and announcements above 32 are sent together instead of not at all.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -16,9 +16,9 @@
 	tellLimit = 150 * time.Millisecond
 	// liftLimit bounds the wait for peers when an operator lifts a quarantine.
 	liftLimit = 2 * time.Second
-	// maxTells bounds the suspects that are being told to peers at once. Above it
-	// requests are tried again without telling.
-	maxTells = 32
+	// maxLifts bounds the lifts that are being told to peers at once. Above it a lift isn't
+	// told, and the other daemons go on suspecting the content.
+	maxLifts = 32
 	// suspectsRetryDelay is the pause between two attempts to learn the suspects
 	// from a peer.
 	suspectsRetryDelay = 500 * time.Millisecond
@@ -29,7 +29,9 @@
 // quarantinePeers implements quarantine.Peers.
 type quarantinePeers struct {
 	daemon  *Daemon
-	telling chan struct{}
+	batcher *quarantine.Batcher
+	// lifting holds one element for each lift that is being told.
+	lifting chan struct{}
 	store   *quarantineStore
 }
 
@@ -38,7 +40,9 @@
 // startQuarantine sets up what watches for requests that crash targets.
 func (d *Daemon) startQuarantine() {
 	d.quarantineStore = newQuarantineStore(d)
-	d.quarantine = quarantine.NewCoordinator(&quarantinePeers{daemon: d, telling: make(chan struct{}, maxTells), store: d.quarantineStore})
+	peers := &quarantinePeers{daemon: d, lifting: make(chan struct{}, maxLifts), store: d.quarantineStore}
+	peers.batcher = quarantine.NewBatcher(peers.tell)
+	d.quarantine = quarantine.NewCoordinator(peers)
 	d.proxy.SetQuarantine(d.quarantine)
 	d.peers.Register(peer.MethodSuspect, d.serveSuspect)
 	d.peers.Register(peer.MethodLift, d.serveLift)
@@ -55,24 +59,19 @@
 }
 
 // Announce implements quarantine.Peers.
-func (p *quarantinePeers) Announce(suspect quarantine.Suspect, done func()) {
+func (p *quarantinePeers) Announce(suspect quarantine.Suspect, done func(quarantine.Answers)) {
 	log := p.daemon.log.WithField("content", uint64(suspect.Content)).WithField("service", suspect.Service).WithField("type", suspect.Type)
 	log.WithField("deaths", len(suspect.Deaths)).WithField("quarantined", suspect.Quarantined).Warn("target died while it ran a request")
 	if suspect.Quarantined {
 		p.store.change(quarantine.Change{Add: &suspect})
 	}
-	select {
-	case p.telling <- struct{}{}:
-	default:
-		log.Warn("peers not told")
-		go done()
-		return
-	}
-	go func() {
-		p.daemon.broadcast(tellLimit, peer.MethodSuspect, peer.Suspects{Suspects: []quarantine.Suspect{suspect}}, p.learn)
-		<-p.telling
-		done()
-	}()
+	p.batcher.Announce(suspect, done)
+}
+
+// tell tells suspects to the other daemons and waits for their answers.
+func (p *quarantinePeers) tell(suspects []quarantine.Suspect) quarantine.Answers {
+	unreached := p.daemon.broadcast(tellLimit, peer.MethodSuspect, peer.Suspects{Suspects: suspects}, p.learn)
+	return quarantine.Answers{Complete: len(unreached) == 0}
 }
 
 // learn takes what a peer that was told of suspects knows of them.
@@ -88,13 +87,13 @@
 // Lift implements quarantine.Peers.
 func (p *quarantinePeers) Lift(content quarantine.Content) {
 	select {
-	case p.telling <- struct{}{}:
+	case p.lifting <- struct{}{}:
 	default:
 		return
 	}
 	go func() {
 		p.daemon.broadcast(liftLimit, peer.MethodLift, peer.Lift{Content: content}, nil)
-		<-p.telling
+		<-p.lifting
 	}()
 }
 
@@ -105,7 +104,8 @@
 	}
 	now := time.Now()
 	d.quarantine.Merge(now, message.Suspects)
-	return peer.Suspects{Suspects: d.quarantine.Lookup(now, message.Suspects)}, nil
+	known, claimed := d.quarantine.Lookup(now, message.Suspects)
+	return peer.Suspects{Suspects: known, Claimed: claimed}, nil
 }
 
 func (d *Daemon) serveLift(_ context.Context, params json.RawMessage) (any, error) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,10 @@
 	target := placed.Target
 	a := &attempt{call: c, placed: placed, sentAt: now}
 	placed.Handle = a
+	if !c.maySend(now) {
+		a.finish(now, placement.Result{Outcome: placement.NotSent, Quarantined: true})
+		return
+	}
 	a.exchange.Address = targetclient.Address{HostPort: target.Address}
 	a.request = fasthttp.AcquireRequest()
 	c.request.Header.CopyTo(&a.request.Header)
@@ -36,6 +40,7 @@
 	a.request.Header.Del(fasthttp.HeaderExpect)
 	c.gateway.options.Dialect.SetTargetHeaders(a.request, target.ID, c.placed.Deadline.Sub(now))
 	c.gateway.counts.Sent++
+	c.sending++
 	c.gateway.client.Start(c.gateway.loop, &a.exchange, c.placed.Deadline.Add(abandonedGracePeriod), a.request, a)
 }
 
@@ -53,6 +58,8 @@
 func (a *attempt) Ended(response *fasthttp.Response, err error) {
 	fasthttp.ReleaseRequest(a.request)
 	a.request = nil
+	a.call.sending--
+	defer a.call.releaseClaim()
 	if a.canceled {
 		if response != nil {
 			fasthttp.ReleaseResponse(response)
@@ -64,7 +71,7 @@
 	result := c.gateway.classify(response, err)
 	if c.gateway.quarantine != nil && closedByTarget(err) {
 		c.gateway.log.attemptFailed(a, result, err)
-		a.checkForCrash(result)
+		a.checkForCrash(now, result)
 		return
 	}
 	if result.Outcome == placement.Answered {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -34,6 +35,11 @@
 	callerTimeout time.Duration
 	// done is set once the caller has its response or has disconnected.
 	done bool
+	// sending is the number of attempts that have not ended.
+	sending int
+	// claimed is set while the call holds the claim of its content, which is suspected of
+	// crashing targets.
+	claimed bool
 }
 
 // findRoute returns the route of a request, or nil if there is none.
@@ -68,17 +74,31 @@
 		g.refuseUnplaced(request, exchange, fasthttp.StatusServiceUnavailable, reasonDraining)
 		return
 	}
-	if c.quarantined(c.started) {
+	standing := c.standing(c.started)
+	switch standing {
+	case quarantine.Quarantined:
 		g.refuseUnplaced(request, exchange, fasthttp.StatusServiceUnavailable, string(placement.ReasonQuarantined))
 		return
+	case quarantine.Undecided:
+		g.refuseUnplaced(request, exchange, fasthttp.StatusServiceUnavailable, string(placement.ReasonSuspected))
+		return
 	}
 	g.timers.set(c.timeout, c.placed.Deadline)
 	exchange.WatchCaller(c)
-	if !c.done {
-		g.perform(c.service, c.service.pool.Submit(c.started, &c.placed))
+	switch {
+	case c.done:
+	case standing == quarantine.Suspected:
+		c.claim()
+	default:
+		c.submit()
 	}
 }
 
+// submit passes the call to the pool of its service.
+func (c *call) submit() {
+	c.gateway.perform(c.service, c.service.pool.Submit(time.Now(), &c.placed))
+}
+
 func (g *Gateway) newCall(request *fasthttp.Request, exchange *callerserver.Exchange, r *route.Route) *call {
 	now := time.Now()
 	state := g.stateOf(r)
@@ -138,6 +158,7 @@
 func (c *call) finish() {
 	c.done = true
 	c.gateway.timers.stop(c.timeout)
+	c.releaseClaim()
 }
 
 // respond sends the caller the response that the pool has decided on.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -32,10 +32,47 @@
 	))
 }
 
-// quarantined reports whether the call must not be executed.
-func (c *call) quarantined(now time.Time) bool {
+// standing returns whether the call may be sent, judged by its content.
+func (c *call) standing(now time.Time) quarantine.Standing {
 	keeper := c.gateway.quarantine
-	return keeper != nil && keeper.HasSuspects() && keeper.Quarantined(now, c.content())
+	if keeper == nil || !keeper.HasSuspects() {
+		return quarantine.Unsuspected
+	}
+	return keeper.Standing(now, c.content())
+}
+
+// claim lets the call be submitted once the other daemons have confirmed that its content,
+// which is suspected, may be sent. If they don't, the call is refused.
+func (c *call) claim() {
+	c.gateway.quarantine.Claim(c.started, c.content(), func(granted bool) {
+		c.gateway.runOnLoop(func() {
+			c.claimed = granted
+			if c.done {
+				c.releaseClaim()
+				return
+			}
+			if granted {
+				c.submit()
+				return
+			}
+			c.respond(placement.Action{Kind: placement.Refuse, Reason: placement.ReasonSuspected, RetryAfter: suspectedRetryAfter})
+		})
+	})
+}
+
+// releaseClaim ends the call's claim once the caller has its response and no target runs the
+// call.
+func (c *call) releaseClaim() {
+	if c.claimed && c.done && c.sending == 0 {
+		c.claimed = false
+		c.gateway.quarantine.Release(c.content())
+	}
+}
+
+// maySend reports whether the call may be sent to a target. Its content may have become
+// suspected while the call was queued.
+func (c *call) maySend(now time.Time) bool {
+	return c.claimed || c.standing(now) == quarantine.Unsuspected
 }
 
 // closedByTarget reports whether an attempt ended because the target closed the
@@ -47,43 +84,55 @@
 
 // checkForCrash sends the attempt's target a health check and finishes the attempt once its
 // result is known. The attempt of a request that is not idempotent is finished at once,
-// because it isn't retried anyway.
-func (a *attempt) checkForCrash(result placement.Result) {
+// because it isn't retried anyway. Other requests with the same content aren't sent meanwhile.
+func (a *attempt) checkForCrash(closedAt time.Time, result placement.Result) {
 	c := a.call
+	content := c.content()
+	keeper := c.gateway.quarantine
+	keeper.BeginCheck(content)
 	held := c.placed.Idempotent
 	if held {
 		c.service.pool.HoldRetry(a.placed)
 	} else {
-		a.finish(time.Now(), result)
+		a.finish(closedAt, result)
 	}
 	target := a.placed.Target
 	c.gateway.checkHealth(c.service, target.Address, func(now time.Time, response *fasthttp.Response, err error) {
-		if err == nil && c.gateway.options.Dialect.ClassifyProbe(response).mayBeFrom(target) {
-			if held {
-				a.finish(now, result)
-			}
+		if err != nil || !c.gateway.options.Dialect.ClassifyProbe(response).mayBeFrom(target) {
+			a.targetDied(closedAt, held, result)
 			return
 		}
-		a.targetDied(now, held, result)
+		keeper.EndCheck(content)
+		if held {
+			a.finish(now, result)
+		}
 	})
 }
 
-// targetDied records the death of the attempt's target. If held is set, the attempt is
-// finished once the quarantine has decided whether the request may be retried.
-func (a *attempt) targetDied(now time.Time, held bool, result placement.Result) {
+// targetDied records the death of the attempt's target, which closed the connection at
+// closedAt. If held is set, the attempt is finished once the quarantine has decided whether the
+// request may be retried.
+func (a *attempt) targetDied(closedAt time.Time, held bool, result placement.Result) {
 	c := a.call
-	c.gateway.quarantine.RecordDeath(now, &quarantine.FailedRequest{
-		Content: c.content(),
-		Service: c.service.name,
-		Type:    c.route.Name,
-		Target:  a.placed.Target.ID,
-		SentAt:  a.sentAt,
+	content := c.content()
+	keeper := c.gateway.quarantine
+	keeper.RecordDeath(closedAt, &quarantine.FailedRequest{
+		Content:    content,
+		Service:    c.service.name,
+		Type:       c.route.Name,
+		Target:     a.placed.Target.ID,
+		SentAt:     a.sentAt,
+		HoldsClaim: c.claimed,
 		Resume: func(allowed bool) {
-			if !held {
-				return
-			}
-			result.Quarantined = !allowed
-			c.gateway.runOnLoop(func() { a.finish(time.Now(), result) })
+			c.gateway.runOnLoop(func() {
+				keeper.EndCheck(content)
+				c.claimed = allowed
+				if held {
+					result.Quarantined = !allowed
+					a.finish(time.Now(), result)
+				}
+				c.releaseClaim()
+			})
 		},
 	})
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
 // Reasons for refusing a request before it is passed to a pool.
@@ -21,6 +23,9 @@
 	// drainingRetryAfter is the Retry-After of a draining daemon. It is short because
 	// callers retry at another daemon.
 	drainingRetryAfter = 50 * time.Millisecond
+	// suspectedRetryAfter is the Retry-After of a request whose content is suspected of
+	// crashing targets. It outlasts the check of a target and a broadcast.
+	suspectedRetryAfter = 150 * time.Millisecond
 )
 
 // retryAfterFor returns the Retry-After of a request that is refused for the given reason,
@@ -31,6 +36,8 @@
 		return drainingRetryAfter
 	case reasonNotReady:
 		return notReadyRetryAfter
+	case string(placement.ReasonSuspected):
+		return suspectedRetryAfter
 	}
 	return 0
 }
--- a/internal/heartbeat/node.go
+++ b/internal/heartbeat/node.go
@@ -117,8 +117,8 @@
 	return n.membership.ActivePeers(time.Now())
 }
 
-// OtherZonePeers returns the peer addresses of up to ofZone random members of each other zone.
-func (n *Node) OtherZonePeers(ofZone int) []string {
+// OtherZonePeers returns up to ofZone random members of each other zone.
+func (n *Node) OtherZonePeers(ofZone int) []ZonePeers {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.membership.OtherZonePeers(ofZone, rand.Perm)
--- a/internal/heartbeat/otherzones.go
+++ b/internal/heartbeat/otherzones.go
@@ -89,17 +89,26 @@
 	return advertised
 }
 
-// OtherZonePeers returns the peer addresses of up to ofZone members of each other zone, whether
-// they have answered or not. Pick returns a permutation of the numbers below n, such as
-// rand.Perm, which chooses the members.
-func (m *Membership) OtherZonePeers(ofZone int, pick func(n int) []int) []string {
-	var peers []string
+// ZonePeers are some daemons of another availability zone.
+type ZonePeers struct {
+	Zone string
+	// Addresses are their peer addresses.
+	Addresses []string
+}
+
+// OtherZonePeers returns up to ofZone members of each other zone, whether they have answered or
+// not. Pick returns a permutation of the numbers below n, such as rand.Perm, which chooses the
+// members.
+func (m *Membership) OtherZonePeers(ofZone int, pick func(n int) []int) []ZonePeers {
+	var zones []ZonePeers
 	for _, o := range m.otherZones {
+		peers := ZonePeers{Zone: o.zone}
 		for _, i := range pick(len(o.members))[:min(ofZone, len(o.members))] {
-			peers = append(peers, o.members[i].PeerAddress)
+			peers.Addresses = append(peers.Addresses, o.members[i].PeerAddress)
 		}
+		zones = append(zones, peers)
 	}
-	return peers
+	return zones
 }
 
 // contacts returns the peer addresses of the contacts in other zones that have answered
--- a/internal/heartbeat/otherzones_test.go
+++ b/internal/heartbeat/otherzones_test.go
@@ -63,8 +63,10 @@
 	}
 	membership.Learn(start, otherZoneMember("c1", "c"))
 	inOrder := func(n int) []int { return []int{0, 1, 2}[:n] }
-	require.Len(t, membership.OtherZonePeers(2, inOrder), 3)
-	require.Contains(t, membership.OtherZonePeers(2, inOrder), "c1:90")
+	require.Equal(t, []ZonePeers{
+		{Zone: "b", Addresses: []string{membership.otherZones[0].members[0].PeerAddress, membership.otherZones[0].members[1].PeerAddress}},
+		{Zone: "c", Addresses: []string{"c1:90"}},
+	}, membership.OtherZonePeers(2, inOrder))
 	require.Empty(t, membership.ActivePeers(start))
 	next := Member{Name: "next", Zone: "a", PeerAddress: "next:90", State: Ready}
 	membership.HandleHeartbeat(start, next)
--- a/internal/peer/quarantine.go
+++ b/internal/peer/quarantine.go
@@ -16,8 +16,15 @@
 // Suspects are contents that were at a target when it died.
 type Suspects struct {
 	Suspects []quarantine.Suspect `json:"suspects"`
-	// Relay asks the receiver to tell the daemons of its availability zone.
+	// Relay asks the receiver to tell the daemons of its availability zone, and to answer once
+	// they have.
 	Relay bool `json:"relay,omitempty"`
+	// Claimed is set in an answer if one of the contents must not be sent at present: a
+	// request holds a claim for it, or the health of its target is being checked.
+	Claimed bool `json:"claimed,omitempty"`
+	// Incomplete is set in the answer to a message with Relay if not all daemons of the zone
+	// have answered.
+	Incomplete bool `json:"incomplete,omitempty"`
 }
 
 // Lift ends the suspicion of one content.
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -51,7 +51,9 @@
 	case Lost:
 		p.group.RecordFailure(now, &t.health, outlier.NoResponse, serviceTime)
 	case NotSent:
-		p.group.RecordFailure(now, &t.health, outlier.NoConnection, serviceTime)
+		if !result.Quarantined {
+			p.group.RecordFailure(now, &t.health, outlier.NoConnection, serviceTime)
+		}
 	case NotRun:
 		if result.Report == nil || result.Report.Running >= t.Slots {
 			t.health.RecordOverload(now, serviceTime/4)
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -174,6 +174,9 @@
 	ReasonAttemptsUsed Reason = "attempts_used"
 	// ReasonQuarantined means that the request crashes targets.
 	ReasonQuarantined Reason = "quarantined"
+	// ReasonSuspected means that the request may crash targets, and that it is not known
+	// whether it has reached the limit.
+	ReasonSuspected Reason = "suspected"
 )
 
 // Action is an instruction to the driver.
--- /dev/null
+++ b/internal/quarantine/claim.go
@@ -0,0 +1,136 @@
+package quarantine
+
+import "time"
+
+// Standing says whether a request may be sent, judged by its content.
+type Standing int
+
+const (
+	// Unsuspected content may be sent.
+	Unsuspected Standing = iota
+	// Suspected content may be sent with a claim only.
+	Suspected
+	// Undecided content must not be sent now: a target that may have died is being checked,
+	// or another request with the content holds the claim.
+	Undecided
+	// Quarantined content must not be sent.
+	Quarantined
+)
+
+// Answers sum up what the other daemons answered to an announcement.
+type Answers struct {
+	// Complete is set if all daemons that serve callers have answered. Otherwise deaths that
+	// this daemon doesn't know may have occurred.
+	Complete bool
+	// Claimed is set if another daemon holds a claim for the content, or checks a target for
+	// it.
+	Claimed bool
+}
+
+// claims holds the contents that must not be sent by other requests at present. It is not
+// safe for concurrent use.
+type claims struct {
+	// held are the contents of which one request holds the claim.
+	held map[Content]bool
+	// checks counts the targets that are being checked, by the content that they ran.
+	checks map[Content]int
+}
+
+func newClaims() claims { return claims{held: map[Content]bool{}, checks: map[Content]int{}} }
+
+// acquire claims a content and returns false if it is claimed already.
+func (c *claims) acquire(content Content) bool {
+	if c.held[content] {
+		return false
+	}
+	c.held[content] = true
+	return true
+}
+
+// endCheck records the end of a check.
+func (c *claims) endCheck(content Content) {
+	c.checks[content]--
+	if c.checks[content] <= 0 {
+		delete(c.checks, content)
+	}
+}
+
+// blocks reports whether a request that holds no claim must not be sent.
+func (c *claims) blocks(content Content) bool { return c.held[content] || c.checks[content] > 0 }
+
+// size returns the number of contents with a claim or a check.
+func (c *claims) size() int { return len(c.held) + len(c.checks) }
+
+// BeginCheck records that a target may have died while it ran a request, which a health check
+// is about to tell. Until EndCheck, requests with the same content are Undecided on this
+// daemon, and other daemons get no claim for it.
+func (c *Coordinator) BeginCheck(content Content) {
+	c.update(func() []RetryDecision {
+		c.claims.checks[content]++
+		return nil
+	})
+}
+
+// EndCheck ends a check that BeginCheck began.
+func (c *Coordinator) EndCheck(content Content) {
+	c.update(func() []RetryDecision {
+		c.claims.endCheck(content)
+		return nil
+	})
+}
+
+// Standing returns whether requests with the content may be sent.
+func (c *Coordinator) Standing(now time.Time, content Content) Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.tracker.Quarantined(now, content):
+		return Quarantined
+	case c.claims.blocks(content):
+		return Undecided
+	case c.tracker.Suspected(now, content):
+		return Suspected
+	}
+	return Unsuspected
+}
+
+// Claim asks the other daemons whether suspected content may be sent. It calls resume once,
+// with true if its number of deaths is known to be below the limit and no other request with
+// the content is being sent by a claim. The caller must then call Release when the request has
+// ended at its targets.
+func (c *Coordinator) Claim(now time.Time, content Content, resume func(granted bool)) {
+	var suspect Suspect
+	claimed := false
+	c.update(func() []RetryDecision {
+		if found := c.tracker.find(now, content); found != nil {
+			suspect = c.tracker.copy(found)
+			claimed = !c.claims.blocks(content) && c.claims.acquire(content)
+		}
+		return nil
+	})
+	if !claimed {
+		resume(false)
+		return
+	}
+	c.peers.Announce(suspect, func(answers Answers) { resume(c.confirm(content, claimed, answers)) })
+}
+
+// Release ends a claim.
+func (c *Coordinator) Release(content Content) {
+	c.update(func() []RetryDecision {
+		delete(c.claims.held, content)
+		return nil
+	})
+}
+
+// confirm decides whether the holder of a claim may send, by the answers of the other daemons.
+// It releases the claim if not.
+func (c *Coordinator) confirm(content Content, claimed bool, answers Answers) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	granted := claimed && answers.Complete && !answers.Claimed && !c.tracker.Quarantined(time.Now(), content)
+	if claimed && !granted {
+		delete(c.claims.held, content)
+	}
+	return granted
+}
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -9,11 +9,15 @@
 // expireInterval is the interval at which Run expires retry turns and suspects.
 const expireInterval = 100 * time.Millisecond
 
+// settleTime is how much later than this daemon another one may notice the death of a target
+// that ran requests of both.
+const settleTime = 150 * time.Millisecond
+
 // Peers sends messages to the other daemons.
 type Peers interface {
 	// Announce announces a suspect and calls done once, when the other daemons have answered
 	// or after a timeout.
-	Announce(suspect Suspect, done func())
+	Announce(suspect Suspect, done func(Answers))
 	// Lift announces that content isn't suspected anymore. It doesn't block.
 	Lift(content Content)
 }
@@ -27,14 +31,15 @@
 
 	mu      sync.Mutex
 	tracker *Tracker
+	claims  claims
 }
 
 // NewCoordinator returns a Coordinator with an empty tracker.
 func NewCoordinator(peers Peers) *Coordinator {
-	return &Coordinator{tracker: NewTracker(), peers: peers}
+	return &Coordinator{tracker: NewTracker(), claims: newClaims(), peers: peers}
 }
 
-// HasSuspects reports whether any content is suspected. It takes no lock, so that it can be
+// HasSuspects reports whether any content is suspected or undecided. It takes no lock, so that it can be
 // called for every request.
 func (c *Coordinator) HasSuspects() bool { return c.suspectCount.Load() > 0 }
 
@@ -55,26 +60,56 @@
 		suspect = recorded
 		return decisions
 	})
-	c.peers.Announce(suspect, func() { resume(c.recheck(decisions)) })
+	c.peers.Announce(suspect, func(Answers) { c.settle(decisions) })
+}
+
+// settle rechecks decisions after the other daemons have answered, and resumes the requests. A
+// request whose content shares some of its deaths with another suspect is forbidden only after
+// settleTime: the daemon that ran the other one may not have noticed the same death yet.
+func (c *Coordinator) settle(decisions []RetryDecision) {
+	var settled, open []RetryDecision
+	for _, decision := range c.recheck(decisions) {
+		if !decision.Allowed && c.contested(decision.FailedRequest.Content) {
+			open = append(open, decision)
+			continue
+		}
+		settled = append(settled, decision)
+	}
+	if len(open) > 0 {
+		time.AfterFunc(settleTime, func() { resume(c.recheck(open)) })
+	}
+	resume(settled)
+}
+
+// contested reports whether another suspect may turn out to explain the deaths of content.
+func (c *Coordinator) contested(content Content) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.contested(content)
 }
 
 // RecordDeath is QueueRetry without the retry queue, for callers that retry the requests of a
-// dead target at different targets.
+// dead target at different targets. Now is when the target closed the connection. A retry is
+// allowed by a claim, see Claim, which the request keeps if it holds it already.
 func (c *Coordinator) RecordDeath(now time.Time, failed *FailedRequest) {
 	var suspect Suspect
+	claimed := false
 	c.update(func() []RetryDecision {
 		suspect = c.tracker.RecordDeath(now, failed)
+		claimed = failed.HoldsClaim || c.claims.acquire(failed.Content)
 		return nil
 	})
-	c.peers.Announce(suspect, func() { resume(c.recheck([]RetryDecision{{FailedRequest: failed, Allowed: true}})) })
+	c.peers.Announce(suspect, func(answers Answers) {
+		failed.Resume(c.confirm(failed.Content, claimed, answers))
+	})
 }
 
-// recheck forbids the retries whose content was quarantined after they were allowed.
+// recheck decides again, by the deaths that other daemons have told since.
 func (c *Coordinator) recheck(decisions []RetryDecision) []RetryDecision {
 	return c.update(func() []RetryDecision {
 		now := time.Now()
 		for i, decision := range decisions {
-			decisions[i].Allowed = decision.Allowed && !c.tracker.Quarantined(now, decision.FailedRequest.Content)
+			decisions[i].Allowed = !c.tracker.Quarantined(now, decision.FailedRequest.Content)
 		}
 		return decisions
 	})
@@ -100,11 +135,16 @@
 	resume(c.update(func() []RetryDecision { return c.tracker.Merge(now, suspects) }))
 }
 
-// Lookup returns this daemon's suspects that have the same content as the given ones.
-func (c *Coordinator) Lookup(now time.Time, suspects []Suspect) []Suspect {
+// Lookup returns this daemon's suspects that have the same content as the given ones or were at
+// one of their targets when it died, and whether one of the given contents is claimed or
+// undecided here.
+func (c *Coordinator) Lookup(now time.Time, suspects []Suspect) (known []Suspect, claimed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.Lookup(now, suspects)
+	for _, suspect := range suspects {
+		claimed = claimed || c.claims.blocks(suspect.Content)
+	}
+	return c.tracker.Lookup(now, suspects), claimed
 }
 
 // Lift deletes the suspect with the given content. It returns false if this daemon has
@@ -144,7 +184,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	decisions := apply()
-	c.suspectCount.Store(int64(len(c.tracker.suspects)))
+	c.suspectCount.Store(int64(len(c.tracker.suspects) + c.claims.size()))
 	return decisions
 }
 
--- a/internal/quarantine/coordinator_test.go
+++ b/internal/quarantine/coordinator_test.go
@@ -15,9 +15,9 @@
 }
 
 // Announce implements Peers.
-func (p *respondingPeers) Announce(_ Suspect, done func()) {
+func (p *respondingPeers) Announce(_ Suspect, done func(Answers)) {
 	p.coordinator.Merge(time.Now(), p.known)
-	done()
+	done(Answers{Complete: true})
 }
 
 // Lift implements Peers.
@@ -77,3 +77,34 @@
 	require.True(t, coordinator.Quarantined(now.Add(time.Second), 1))
 	require.False(t, coordinator.Quarantined(now.Add(time.Second), 2))
 }
+
+// A harmless request was at both targets that the crashing one killed, but ran on another
+// daemon, which tells of the second death late. The harmless one must not be refused for it.
+func TestRequestBesideACrashingOneIsAllowedWhenItsDeathsAreExplainedLate(t *testing.T) {
+	const harmless, crashing = Content(1), Content(2)
+	now := time.Now()
+	deaths := []Death{
+		{Target: "target-1", SentAt: now.Add(-400 * time.Millisecond), At: now.Add(-300 * time.Millisecond)},
+		{Target: "target-2", SentAt: now.Add(-200 * time.Millisecond), At: now},
+	}
+	peers := &respondingPeers{}
+	coordinator := NewCoordinator(peers)
+	peers.coordinator = coordinator
+	allowed := make(chan bool, 2)
+	fail := func(death Death) {
+		coordinator.QueueRetry(death.At, &FailedRequest{Content: harmless, Target: death.Target, SentAt: death.SentAt, Resume: func(a bool) { allowed <- a }})
+	}
+	coordinator.Merge(now, []Suspect{{Content: crashing, Deaths: deaths[:1]}})
+	fail(deaths[0])
+	require.True(t, <-allowed)
+	fail(deaths[1])
+	time.Sleep(settleTime / 3)
+	coordinator.Merge(time.Now(), []Suspect{{Content: crashing, Deaths: deaths}})
+	select {
+	case a := <-allowed:
+		require.True(t, a)
+	case <-time.After(10 * settleTime):
+		require.Fail(t, "not decided")
+	}
+	require.False(t, coordinator.Quarantined(time.Now(), harmless))
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,6 +47,8 @@
 	Target string
 	// SentAt is when the request was sent to the target.
 	SentAt time.Time
+	// HoldsClaim is set if the request was sent by a claim, see Coordinator.Claim.
+	HoldsClaim bool
 	// Resume is supplied by the caller of the package. It is called once, with true if
 	// the request may be retried.
 	Resume func(allowed bool)
@@ -157,17 +159,44 @@
 	return decisions
 }
 
-// Lookup returns this tracker's suspects that have the same content as the given ones.
+// Lookup returns this tracker's suspects that have the same content as the given ones, or that
+// were at a target when it died under one of the given ones and so may explain its death.
 func (t *Tracker) Lookup(now time.Time, suspects []Suspect) []Suspect {
 	var known []Suspect
-	for _, received := range suspects {
-		if suspect := t.find(now, received.Content); suspect != nil {
+	for content := range t.suspects {
+		suspect := t.find(now, content)
+		if suspect != nil && concerns(suspect, suspects) {
 			known = append(known, t.copy(suspect))
 		}
 	}
 	return known
 }
 
+// concerns reports whether a suspect has the content or one of the deaths of given ones.
+func concerns(suspect *Suspect, given []Suspect) bool {
+	for i := range given {
+		if suspect.Content == given[i].Content || suspect.sharesDeath(&given[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+// contested reports whether content has reached the limit of deaths, while another suspect was
+// at some of them.
+func (t *Tracker) contested(content Content) bool {
+	suspect := t.suspects[content]
+	if suspect == nil || suspect.independentDeaths() != DeathLimit {
+		return false
+	}
+	for _, other := range t.suspects {
+		if other != suspect && other.sharesDeath(suspect) {
+			return true
+		}
+	}
+	return false
+}
+
 // Lift deletes the suspect with the given content. It returns false if there is none.
 func (t *Tracker) Lift(content Content) bool {
 	_, known := t.suspects[content]
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -63,6 +63,16 @@
 	return true
 }
 
+// sharesDeath reports whether both contents were at a target when it died.
+func (s *Suspect) sharesDeath(other *Suspect) bool {
+	for _, death := range other.Deaths {
+		if s.presentAt(death) {
+			return true
+		}
+	}
+	return false
+}
+
 // presentAt reports whether the content was at the target when it died.
 func (s *Suspect) presentAt(death Death) bool {
 	for _, known := range s.Deaths {
