Receive responses in one pass, with a bound for each part

Cause: each read parsed all that had arrived from the start, through errors' texts. A valid chunked answer that arrived in two parts was lost at 11 of 107 cuts, as if the target had died; a caller's chunked upload was refused as malformed at the same cuts (TestChunkedRequestIsReadAtEveryCut fails on the old code at the first). A body, header or noise without end was taken in until the deadline; answers to other requests recursed without end.

Change: internal/framing finds the end of a chunked body in one pass and tells incomplete from invalid by types; the receiver of targetclient copies a piece once and calls the library with whole parts. Bounds: header 64 KiB, chunk size line 4 KiB, trailers 16 KiB, 3 interim and 3 discarded responses, 8 MiB a response, and the sum of what all connections hold (MaxBufferedBytes, not set yet by the gateway). Bytes after the deadline end the attempt at once. An error response without an ID is believed on the first exchange of a connection only: later it may be a second copy of an earlier one, and if it says that it has not run, a booking would be sent again.

The own interface goes on believing answers without an ID, since its targets need not return one.

--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"strings"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/framing"
 	"github.com/poplarwheel/poplarwheel/internal/headerreader"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
@@ -50,8 +50,6 @@
 const (
 	// lengthChunked is the content length that fasthttp reports for a chunked body.
 	lengthChunked = -1
-	// trailerBytes is the minimum size of the read buffer for chunk headers and trailers.
-	trailerBytes = 4 << 10
 	// chunkOverhead is the maximum ratio of the encoded size of a chunked body to
 	// BodyBytes.
 	chunkOverhead = 8
@@ -175,25 +173,38 @@
 // Error implements error.
 func (e *AmbiguousLengthError) Error() string { return "both a length and a transfer coding" }
 
-// readChunked reads a chunked body. It returns the size of the whole request, or one more
-// than len(buffered) while the body is incomplete.
+// readChunked reads a chunked body. It returns the size of the whole request, or a lower bound
+// that is greater than len(buffered) while the body is incomplete.
 func readChunked(request *fasthttp.Request, buffered []byte, headerSize int, limits Limits) (int, error) {
-	reader := headerreader.Acquire(buffered[headerSize:], trailerBytes)
-	defer reader.Release()
-	err := request.ContinueReadBody(reader.Buffered, limits.BodyBytes, false)
+	chunks := framing.Chunks{MaxPayload: limits.BodyBytes}
+	size, complete, err := chunks.Scan(buffered[headerSize:])
+	size += headerSize
+	var invalid *framing.ChunkError
 	switch {
-	case err == nil:
-		request.Header.Del(fasthttp.HeaderTransferEncoding)
-		return len(buffered) - reader.Unread(), nil
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.As(err, &invalid) && invalid.Problem == framing.BodyTooLarge:
+		return 0, rejection(request, fasthttp.StatusRequestEntityTooLarge, "body_too_large")
+	case err != nil:
+		return 0, malformed(err)
+	case complete:
+		return size, decodeChunks(request, buffered[headerSize:size], limits)
+	case len(buffered) > limits.HeaderBytes+chunkOverhead*limits.BodyBytes:
 		return 0, rejection(request, fasthttp.StatusRequestEntityTooLarge, "body_too_large")
-	case errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF):
-		if len(buffered) > limits.HeaderBytes+chunkOverhead*limits.BodyBytes {
-			return 0, rejection(request, fasthttp.StatusRequestEntityTooLarge, "body_too_large")
-		}
-		return len(buffered) + 1, nil
 	}
-	return 0, malformed(err)
+	return size, nil
+}
+
+// decodeChunks decodes a complete chunked body with its trailers.
+func decodeChunks(request *fasthttp.Request, body []byte, limits Limits) error {
+	reader := headerreader.Acquire(body, framing.MaxTrailerBytes)
+	defer reader.Release()
+	if err := request.ContinueReadBody(reader.Buffered, limits.BodyBytes, false); err != nil {
+		return malformed(err)
+	}
+	if rest := reader.Unread(); rest > 0 {
+		return malformed(&TrailingBytesError{Bytes: rest})
+	}
+	request.Header.Del(fasthttp.HeaderTransferEncoding)
+	return nil
 }
 
 // sendContinue sends "100 Continue" once per request to a caller that expects it before
--- a/internal/callerserver/parse_test.go
+++ b/internal/callerserver/parse_test.go
@@ -93,3 +93,22 @@
 		}
 	})
 }
+
+// A chunked upload that arrives in two pieces is incomplete, never malformed, wherever it is cut.
+func TestChunkedRequestIsReadAtEveryCut(t *testing.T) {
+	limits := testLimits
+	limits.AnyRequest = true
+	const input = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"5;name=\"v\"\r\nhello\r\nA\r\n0123456789\r\n0\r\nX-Sum: 1\r\n\r\n"
+	for cut := range len(input) {
+		request, size, err := parse([]byte(input[:cut]), limits)
+		require.NoError(t, err, "cut at %d", cut)
+		require.Nil(t, request, "cut at %d", cut)
+		require.True(t, size == 0 || size > cut, "cut at %d", cut)
+		require.LessOrEqual(t, size, len(input), "cut at %d", cut)
+	}
+	request, size, err := parse([]byte(input+"GET /b"), limits)
+	require.NoError(t, err)
+	require.Equal(t, len(input), size)
+	require.Equal(t, "hello0123456789", string(request.Body()))
+}
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -48,13 +48,19 @@
 	open     sync.Map // target address -> *atomic.Int64, the open connections
 	// openTotal counts the open connections to all targets.
 	openTotal atomic.Int64
+	memory    responseMemory
 }
 
 // New returns a client with the default rules.
 func New() *Client { return NewWithRules(DefaultRules()) }
 
 // NewWithRules returns a client that applies the given rules.
-func NewWithRules(rules Rules) *Client { return &Client{dialFunc: netdial.Direct, rules: rules} }
+func NewWithRules(rules Rules) *Client {
+	return &Client{dialFunc: netdial.Direct, rules: rules, memory: responseMemory{limit: rules.MaxBufferedBytes}}
+}
+
+// BufferedBytes returns the bytes of incomplete responses on all connections.
+func (c *Client) BufferedBytes() int64 { return c.memory.held.Load() }
 
 // SetDial replaces the function that opens connections, which must return connections of
 // the net package. It must be called before Start.
@@ -157,6 +163,7 @@
 		return
 	}
 	conn := &targetConn{pool: p, loop: loop, dialedFor: e}
+	conn.receiver = receiver{memory: &c.memory, allowCloseDelimited: c.rules.AllowCloseDelimited}
 	registered, err := loop.Enroll(gnet.NewContext(context.Background(), conn), netConn)
 	if err == nil {
 		err = (<-registered).Err
--- a/internal/targetclient/conn.go
+++ b/internal/targetclient/conn.go
@@ -13,6 +13,10 @@
 	"github.com/poplarwheel/poplarwheel/internal/invariant"
 )
 
+// maxDiscardedResponses is the maximum number of responses to other requests that are discarded
+// during an exchange.
+const maxDiscardedResponses = 3
+
 // targetConn is a connection to a target. It implements callerserver.EnrolledConn and is
 // accessed only on its event loop.
 type targetConn struct {
@@ -23,14 +27,16 @@
 	dialedFor *exchange
 	// current is the exchange in progress, or nil.
 	current *exchange
-	// requiredBytes is the number of buffered bytes needed to parse the response.
-	requiredBytes int
+	// receiver assembles the response of the current exchange.
+	receiver receiver
+	// exchanges is the number of exchanges that were sent on the connection.
+	exchanges int
+	// discarded is the number of responses to other requests during the current exchange.
+	discarded int
 	// idleSince is when the connection was last returned to its pool.
 	idleSince time.Time
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
-	// closeDelimited is set while a response is received that ends with the connection.
-	closeDelimited bool
 	// sawMismatch is set once a response to another request was received. The connection
 	// is then not reused.
 	sawMismatch bool
@@ -68,7 +74,9 @@
 	}
 	defer bytebufferpool.Put(buffer)
 	c.current, e.conn = e, c
-	c.requiredBytes = 0
+	c.receiver.reset(e.request.Header.IsHead())
+	c.exchanges++
+	c.discarded = 0
 	c.pool.busy[c] = struct{}{}
 	if _, err := c.conn.Write(buffer.B); err != nil {
 		c.fail(err)
@@ -86,51 +94,64 @@
 	return gnet.None
 }
 
-// read parses responses until the one to the current request is complete.
+// read receives responses until the one to the current request is complete. Bytes that arrive
+// after the deadline end the exchange, however many follow.
 func (c *targetConn) read(conn gnet.Conn) {
 	if c.current == nil {
 		c.close()
 		return
 	}
-	for c.current != nil && !c.closeDelimited && conn.InboundBuffered() >= max(c.requiredBytes, 1) {
-		buffered, err := conn.Peek(-1)
+	if time.Now().After(c.current.deadline) {
+		c.fail(ErrTimeout)
+		return
+	}
+	for c.current != nil && conn.InboundBuffered() > 0 {
+		piece, err := conn.Peek(-1)
 		if err != nil {
 			return
 		}
-		response, size, err := parse(buffered, c.current.request.Header.IsHead())
-		switch {
-		case errors.Is(err, ErrNoLength) && c.rules().AllowCloseDelimited:
-			c.closeDelimited = true
-		case err != nil:
+		response, rest, err := c.receiver.receive(piece)
+		if err != nil {
 			c.fail(err)
-		case response == nil && len(buffered) > MaxResponseBytes:
-			c.fail(ErrTooLarge)
-		case response == nil:
-			c.requiredBytes = size
-		default:
-			_, _ = conn.Discard(size)
-			c.requiredBytes = 0
-			c.acceptResponse(response)
 			return
 		}
+		_, _ = conn.Discard(len(piece) - rest)
+		if response == nil {
+			return
+		}
+		c.receiver.reset(c.current.request.Header.IsHead())
+		c.acceptResponse(response)
 	}
 }
 
 // acceptResponse handles a complete response. A response to another request fails the
 // exchange unless Rules.DiscardMismatched is set, in which case it is discarded.
 func (c *targetConn) acceptResponse(response *fasthttp.Response) {
-	err := c.rules().Match(c.current.request, response)
+	err := c.match(response)
 	if err == nil {
 		c.complete(response)
 		return
 	}
 	fasthttp.ReleaseResponse(response)
-	if !c.rules().DiscardMismatched {
+	c.discarded++
+	var mismatch *MismatchError
+	if !c.rules().DiscardMismatched || !errors.As(err, &mismatch) || c.discarded > maxDiscardedResponses {
 		c.fail(err)
 		return
 	}
 	c.sawMismatch = true
-	c.read(c.conn)
+}
+
+// match returns nil if response is the response to the current request. One that doesn't say so
+// is believed on the first exchange of a connection only: later it may be a second copy of the
+// response to an earlier request.
+func (c *targetConn) match(response *fasthttp.Response) error {
+	err := c.rules().Match(c.current.request, response)
+	var unidentified *UnidentifiedError
+	if errors.As(err, &unidentified) && c.exchanges == 1 && !c.sawMismatch {
+		return nil
+	}
+	return err
 }
 
 // rules returns the client's rules.
@@ -153,18 +174,14 @@
 // closeDelimitedResponse returns the response that ended with its connection, or nil if it
 // may be truncated.
 func (c *targetConn) closeDelimitedResponse(cause error) *fasthttp.Response {
-	if !c.closeDelimited || !errors.Is(cause, io.EOF) {
+	if !errors.Is(cause, io.EOF) {
 		return nil
 	}
-	buffered, err := c.conn.Peek(-1)
-	if err != nil || len(buffered) > MaxResponseBytes {
-		return nil
-	}
-	response, err := parseUntilClose(buffered)
-	if err != nil {
+	response := c.receiver.finishAtClose()
+	if response == nil {
 		return nil
 	}
-	if c.rules().Match(c.current.request, response) != nil {
+	if c.match(response) != nil {
 		fasthttp.ReleaseResponse(response)
 		return nil
 	}
@@ -188,6 +205,7 @@
 func (c *targetConn) fail(cause error) {
 	e := c.current
 	c.current = nil
+	c.receiver.reset(false)
 	c.close()
 	if e != nil {
 		e.finish(nil, &LostError{Cause: cause})
@@ -221,6 +239,7 @@
 	if e := c.current; e != nil {
 		response := c.closeDelimitedResponse(cause)
 		c.current = nil
+		c.receiver.reset(false)
 		if response != nil {
 			e.finish(response, nil)
 			return
--- a/internal/targetclient/errors.go
+++ b/internal/targetclient/errors.go
@@ -17,6 +17,12 @@
 	ErrClosed = errs.New("connection closed")
 	// ErrTooLarge means that the response is larger than MaxResponseBytes.
 	ErrTooLarge = errs.New("response too large")
+	// ErrHeaderTooLarge means that the header of a response is larger than MaxHeaderBytes.
+	ErrHeaderTooLarge = errs.New("response header too large")
+	// ErrMalformed means that the bytes that arrived are no response.
+	ErrMalformed = errs.New("malformed response")
+	// ErrMemory means that the response needs more memory than Rules.MaxBufferedBytes leaves.
+	ErrMemory = errs.New("incomplete responses take too much memory")
 	// ErrInterim means that too many interim responses came before the final one.
 	ErrInterim = errs.New("too many interim responses")
 	// ErrNoLength means that the response declares no length, so that a truncated
@@ -51,6 +57,14 @@
 	return fmt.Sprintf("response is for attempt %q, want %q", e.Have, e.Want)
 }
 
+// UnidentifiedError reports a response that doesn't say to which request it is.
+type UnidentifiedError struct{ Status int }
+
+// Error implements error.
+func (e *UnidentifiedError) Error() string {
+	return fmt.Sprintf("response with status %d names no attempt", e.Status)
+}
+
 // ConnectionLimitError reports that the limit of open connections was reached. Address is
 // the target of the failed attempt.
 type ConnectionLimitError struct {
--- /dev/null
+++ b/internal/targetclient/receiver_test.go
@@ -0,0 +1,214 @@
+package targetclient
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/framing"
+)
+
+const (
+	sizedMessage   = "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\nhello0123456789"
+	chunkedMessage = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		"5;name=\"v\"\r\nhello\r\nA\r\n0123456789\r\n0\r\nX-Sum: 1\r\n\r\n"
+	interimMessage = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + sizedMessage
+	openMessage    = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello0123456789"
+	messageBody    = "hello0123456789"
+)
+
+func newReceiver() *receiver {
+	return &receiver{memory: &responseMemory{}, allowCloseDelimited: true}
+}
+
+// receivePieces passes a message to a receiver in pieces. Each piece is in memory that is
+// overwritten afterwards, like that of an event loop.
+func receivePieces(r *receiver, pieces ...string) (response *fasthttp.Response, rest int, err error) {
+	for _, piece := range pieces {
+		if piece == "" {
+			continue
+		}
+		memory := []byte(piece)
+		response, rest, err = r.receive(memory)
+		clear(memory)
+		if response != nil || err != nil {
+			return response, rest, err
+		}
+	}
+	return nil, 0, nil
+}
+
+// A response is received whole, wherever it is cut into two pieces.
+func TestResponseIsReceivedAtEveryCut(t *testing.T) {
+	for name, message := range map[string]string{"sized": sizedMessage, "chunked": chunkedMessage, "interim": interimMessage} {
+		for cut := range len(message) {
+			response, rest, err := receivePieces(newReceiver(), message[:cut], message[cut:]+"more")
+			require.NoError(t, err, "%s, cut at %d", name, cut)
+			require.NotNil(t, response, "%s, cut at %d", name, cut)
+			require.Equal(t, messageBody, string(response.Body()), "%s, cut at %d", name, cut)
+			require.Equal(t, len("more"), rest)
+			response, _, err = receivePieces(newReceiver(), message[:cut])
+			require.NoError(t, err)
+			require.Nil(t, response, "%s is complete without its last %d bytes", name, len(message)-cut)
+		}
+	}
+}
+
+func TestResponseIsReceivedByteByByte(t *testing.T) {
+	for _, message := range []string{sizedMessage, chunkedMessage, interimMessage} {
+		response, _, err := receivePieces(newReceiver(), strings.Split(message, "")...)
+		require.NoError(t, err)
+		require.Equal(t, messageBody, string(response.Body()))
+	}
+}
+
+func TestCloseDelimitedResponseIsReceivedAtEveryCut(t *testing.T) {
+	for cut := range len(openMessage) {
+		r := newReceiver()
+		response, _, err := receivePieces(r, openMessage[:cut], openMessage[cut:])
+		require.NoError(t, err)
+		require.Nil(t, response)
+		require.Equal(t, messageBody, string(r.finishAtClose().Body()), "cut at %d", cut)
+	}
+}
+
+// Each part of a response that doesn't end is given up at its limit.
+func TestEndlessResponsesAreGivenUp(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\n"
+	const chunkedHeader = header + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, test := range map[string]struct {
+		start, unit string
+		most        int
+		cause       error
+	}{
+		"noise":         {"", "\x00\xff!?", 100, ErrMalformed},
+		"header line":   {header + "A: ", "a", 2 * MaxHeaderBytes, ErrHeaderTooLarge},
+		"headers":       {header, "A: b\r\n", 2 * MaxHeaderBytes, ErrHeaderTooLarge},
+		"interim":       {"", "HTTP/1.1 102 Processing\r\n\r\n", 1000, ErrInterim},
+		"body":          {header + "\r\n", "0123456789abcdef", 2 * MaxResponseBytes, ErrTooLarge},
+		"sized body":    {header + "Content-Length: 99999999\r\n\r\n", "x", 1000, ErrTooLarge},
+		"chunks":        {chunkedHeader, "1000\r\n" + strings.Repeat("x", 4096) + "\r\n", 2 * MaxResponseBytes, ErrTooLarge},
+		"empty chunks":  {chunkedHeader, "1\r\nx\r\n", 2 * MaxResponseBytes, ErrTooLarge},
+		"chunk size":    {chunkedHeader, "0", 2 * framing.MaxChunkLineBytes, nil},
+		"extension":     {chunkedHeader + "1;", "x", 2 * framing.MaxChunkLineBytes, nil},
+		"trailers":      {chunkedHeader + "0\r\n", "A: b\r\n", 2 * framing.MaxTrailerBytes, nil},
+		"trailer line":  {chunkedHeader + "0\r\nA: ", "b", 2 * framing.MaxTrailerBytes, nil},
+		"chunk of 1 TB": {chunkedHeader + "10000000000\r\n", "x", 1000, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newReceiver()
+			piece := strings.Repeat(test.unit, 1+1000/len(test.unit))
+			_, _, err := r.receive([]byte(test.start + piece))
+			for sent := len(piece); err == nil; sent += len(piece) {
+				require.LessOrEqual(t, sent, test.most+2000)
+				_, _, err = r.receive([]byte(piece))
+			}
+			if test.cause != nil {
+				require.ErrorIs(t, err, test.cause)
+				return
+			}
+			var invalid *framing.ChunkError
+			require.ErrorAs(t, err, &invalid)
+		})
+	}
+}
+
+// A hundred large responses at once take no more memory than the limit, small ones still arrive.
+func TestMemoryOfIncompleteResponsesIsBounded(t *testing.T) {
+	const limit = 4 << 20
+	memory := &responseMemory{limit: limit}
+	var receivers []*receiver
+	refused := 0
+	for range 100 {
+		r := &receiver{memory: memory, allowCloseDelimited: true}
+		receivers = append(receivers, r)
+		_, _, err := r.receive([]byte(openMessage))
+		for range 64 {
+			if err == nil {
+				_, _, err = r.receive(bytes.Repeat([]byte("x"), 4<<10))
+			}
+		}
+		if errors.Is(err, ErrMemory) {
+			refused++
+			r.reset(false)
+		}
+		require.LessOrEqual(t, memory.held.Load(), int64(limit))
+	}
+	require.Positive(t, refused)
+	response, _, err := receivePieces(&receiver{memory: memory}, sizedMessage[:30], sizedMessage[30:])
+	require.NoError(t, err)
+	require.Equal(t, messageBody, string(response.Body()))
+	for _, r := range receivers {
+		r.reset(false)
+	}
+	require.LessOrEqual(t, memory.held.Load(), int64(minBufferBytes))
+}
+
+// BenchmarkReceive receives responses in pieces of 16 KiB, as from an event loop.
+func BenchmarkReceive(b *testing.B) {
+	const pieceBytes = 16 << 10
+	for size := 1 << 10; size <= 4<<20; size *= 16 {
+		body := strings.Repeat("x", size)
+		chunked := &strings.Builder{}
+		for rest := body; rest != ""; rest = rest[min(len(rest), 4<<10):] {
+			chunk := rest[:min(len(rest), 4<<10)]
+			fmt.Fprintf(chunked, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		for name, message := range map[string]string{
+			"sized":   fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", size, body),
+			"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked.String() + "0\r\n\r\n",
+			"open":    "HTTP/1.1 200 OK\r\n\r\n" + body,
+		} {
+			b.Run(fmt.Sprintf("%s/%dKB", name, size>>10), func(b *testing.B) {
+				b.SetBytes(int64(size))
+				b.ReportAllocs()
+				r := newReceiver()
+				whole := []byte(message)
+				for b.Loop() {
+					r.reset(false)
+					var response *fasthttp.Response
+					for rest := whole; len(rest) > 0 && response == nil; rest = rest[min(len(rest), pieceBytes):] {
+						response, _, _ = r.receive(rest[:min(len(rest), pieceBytes)])
+					}
+					if response == nil {
+						response = r.finishAtClose()
+					}
+					fasthttp.ReleaseResponse(response)
+				}
+			})
+		}
+	}
+}
+
+// FuzzReceiver checks that any split of any bytes gives the same result as the bytes whole.
+func FuzzReceiver(f *testing.F) {
+	for _, seed := range []string{sizedMessage, chunkedMessage, interimMessage, openMessage, "HTTP/1.1 2x0\r\n\r\n", "HTTP/1.1 204 N\r\n\r\nrest"} {
+		f.Add([]byte(seed), uint8(0))
+		f.Add([]byte(seed), uint8(10))
+	}
+	f.Fuzz(func(t *testing.T, message []byte, step uint8) {
+		whole, pieces := newReceiver(), newReceiver()
+		expected, expectedRest, expectedErr := whole.receive(bytes.Clone(message))
+		var response *fasthttp.Response
+		var err error
+		consumed := 0
+		for consumed < len(message) && response == nil && err == nil {
+			piece := bytes.Clone(message[consumed:min(consumed+int(step)+1, len(message))])
+			var rest int
+			response, rest, err = pieces.receive(piece)
+			consumed += len(piece) - rest
+		}
+		require.Equal(t, expectedErr == nil, err == nil, "%v, in pieces %v", expectedErr, err)
+		require.Equal(t, expected == nil, response == nil)
+		if expected != nil {
+			require.Equal(t, len(message)-expectedRest, consumed)
+			require.Equal(t, string(expected.Body()), string(response.Body()))
+			require.Equal(t, expected.Header.String(), response.Header.String())
+		}
+	})
+}
--- a/internal/targetclient/rules.go
+++ b/internal/targetclient/rules.go
@@ -13,8 +13,9 @@
 
 // Rules configures how a client treats the responses and connections of targets.
 type Rules struct {
-	// Match returns nil if response is the response to request, otherwise an error such
-	// as *MismatchError. It must not retain its arguments.
+	// Match returns nil if response is the response to request, a *MismatchError if it is
+	// that to another one, and an *UnidentifiedError if it doesn't tell. It must not retain
+	// its arguments.
 	Match func(request *fasthttp.Request, response *fasthttp.Response) error
 	// DiscardMismatched discards a response that doesn't match and keeps waiting for the right
 	// one. Otherwise the attempt fails with a *LostError.
@@ -31,6 +32,10 @@
 	// new connection replaces the one on its event loop that has been idle longest. 0 means
 	// no limit.
 	MaxConnections int
+	// MaxBufferedBytes is the maximum size of all incomplete responses together. At the limit,
+	// an attempt whose response needs more fails with ErrMemory; responses of up to 16 KiB
+	// are received nevertheless. 0 means no limit.
+	MaxBufferedBytes int64
 }
 
 // keepAliveMargin is how long before the target's own idle timeout a connection is no longer
@@ -65,7 +70,8 @@
 	return 0, false
 }
 
-// matchAttemptID compares the attempt IDs. It accepts a response without an ID.
+// matchAttemptID compares the attempt IDs. It accepts a response without an ID: targets need
+// not return it.
 func matchAttemptID(request *fasthttp.Request, response *fasthttp.Response) error {
 	want := request.Header.Peek(wire.HeaderAttemptID)
 	have := response.Header.Peek(wire.HeaderAttemptID)
--- a/test/regions/rejoin_test.go
+++ b/test/regions/rejoin_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
@@ -92,7 +93,12 @@
 	time.Sleep(2 * time.Second)
 	crash(t, s.entries[home][0])
 	for _, d := range s.daemons[home] {
-		require.Eventually(t, func() bool { return quarantined(d) == 1 }, time.Second, 5*time.Millisecond, d.Dump().Name)
+		if !assert.Eventually(t, func() bool { return quarantined(d) == 1 }, time.Second, 5*time.Millisecond, d.Dump().Name) {
+			for _, other := range s.daemons[home] {
+				t.Logf("%s: %+v", other.Dump().Name, other.Dump().Quarantine)
+			}
+			t.FailNow()
+		}
 	}
 	for _, entry := range s.entries[home] {
 		crash(t, entry)
