--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,7 @@
 	c := a.call
 	now := time.Now()
 	result := c.gateway.classify(response, err)
+	c.gateway.counts.recordViolation(err)
 	if c.gateway.quarantine != nil && closedByTarget(err) {
 		c.gateway.log.attemptFailed(a, result, err)
 		a.checkForCrash(now, result)
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/targetclient"
+)
 
 // Counts are a gateway's counters since its start.
 type Counts struct {
@@ -21,6 +25,8 @@
 	Sent           uint64 `json:"sent"`
 	Probes         uint64 `json:"probes"`
 	ProbesTimedOut uint64 `json:"probes_lost"`
+	// Violations counts the responses of targets that were given up, by what was wrong.
+	Violations map[targetclient.Violation]uint64 `json:"violations,omitempty"`
 	// Elapsed is a histogram of the times until delivered responses: the number in each
 	// bucket that ElapsedBounds delimits, and in one for longer times.
 	Elapsed    [len(ElapsedBounds) + 1]uint64 `json:"elapsed"`
@@ -55,3 +61,15 @@
 	}
 	c.Elapsed[i]++
 }
+
+// recordViolation counts a response that was given up, if err reports one.
+func (c *Counts) recordViolation(err error) {
+	violation, ok := targetclient.ViolationOf(err)
+	if !ok {
+		return
+	}
+	if c.Violations == nil {
+		c.Violations = map[targetclient.Violation]uint64{}
+	}
+	c.Violations[violation]++
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// TargetConnections is the maximum number of open connections to all targets. 0 means
 	// unlimited.
 	TargetConnections int
+	// ResponseBytes is the maximum size of all incomplete responses of targets together. 0
+	// means unlimited.
+	ResponseBytes int64
 	// ProbeRate is the maximum number of probes per second to each target by all daemons
 	// together. 0 means unlimited.
 	ProbeRate float64
@@ -130,6 +133,7 @@
 		PoolUnused:          true,
 		IdleTimeout:         targetIdleTimeout,
 		MaxConnections:      options.TargetConnections,
+		MaxBufferedBytes:    options.ResponseBytes,
 	})
 	return g
 }
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -9,6 +9,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/route"
+	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
 const (
@@ -117,6 +118,9 @@
 	if err != nil {
 		entry = entry.WithError(err)
 	}
+	if violation, ok := targetclient.ViolationOf(err); ok {
+		entry = entry.WithField("violation", string(violation))
+	}
 	entry.Warn("attempt failed")
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/placement"
@@ -12,9 +13,11 @@
 	Revision uint64 `json:"revision"`
 	Routes   int    `json:"routes"`
 	// Shares are the daemon's shares of the budgets that all daemons have in common.
-	Shares   Shares         `json:"shares"`
-	Counts   Counts         `json:"counts"`
-	Services []ServiceState `json:"services"`
+	Shares Shares `json:"shares"`
+	Counts Counts `json:"counts"`
+	// ResponseBytes is the size of the incomplete responses of targets.
+	ResponseBytes int64          `json:"response_bytes"`
+	Services      []ServiceState `json:"services"`
 }
 
 // ServiceState is a snapshot of a service's pool.
@@ -42,7 +45,8 @@
 const stateTimeout = 2 * time.Second
 
 func (g *Gateway) state(now time.Time) State {
-	state := State{Revision: g.Revision(), Shares: g.shares, Counts: g.counts}
+	state := State{Revision: g.Revision(), Shares: g.shares, Counts: g.counts, ResponseBytes: g.client.BufferedBytes()}
+	state.Counts.Violations = maps.Clone(g.counts.Violations)
 	if g.table != nil {
 		state.Routes = len(g.table.Routes())
 	}
--- a/internal/gatewayd/admin.go
+++ b/internal/gatewayd/admin.go
@@ -104,6 +104,8 @@
 	elapsedDesc             = newDesc("answer_seconds", "Time until an answer of a target was passed on.")
 	lateDesc                = newDesc("late_answers_total", "Answers of targets that came after they were due.")
 	sentDesc                = newDesc("sends_total", "Requests sent to targets.")
+	givenUpDesc             = newDesc("given_up_answers_total", "Answers of targets that were given up, by what was wrong.", "violation")
+	answerBytesDesc         = newDesc("incomplete_answer_bytes", "Bytes of answers of targets that are incomplete.")
 	probesDesc              = newDesc("probes_total", "Questions to targets for their load, by result.", "result")
 	queuedDesc              = newDesc("queued", "Requests that wait for a target, by service.", "service")
 	targetsDesc             = newDesc("targets", "Targets, by service and state.", "service", "state")
@@ -117,7 +119,7 @@
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		answersDesc, elapsedDesc, lateDesc, sentDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, platformUnavailableDesc, advertisedDesc, suspectsDesc, violationsDesc,
+		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, platformUnavailableDesc, advertisedDesc, suspectsDesc, violationsDesc,
 	} {
 		descriptions <- d
 	}
@@ -140,6 +142,10 @@
 	counter(answersDesc, counts.Disconnected, "caller_gone")
 	counter(lateDesc, counts.Late)
 	counter(sentDesc, counts.Sent)
+	for violation, count := range counts.Violations {
+		counter(givenUpDesc, count, string(violation))
+	}
+	gauge(answerBytesDesc, float64(state.ResponseBytes))
 	counter(probesDesc, counts.Probes-counts.ProbesTimedOut, "answered")
 	counter(probesDesc, counts.ProbesTimedOut, "lost")
 	metrics <- prometheus.MustNewConstHistogram(elapsedDesc, counts.Delivered, counts.ElapsedSum.Seconds(), elapsedBuckets(counts))
--- a/internal/gatewayd/capacity.go
+++ b/internal/gatewayd/capacity.go
@@ -10,6 +10,8 @@
 	// MaxFiles is the maximum number of open files and sockets of the process. 0 means
 	// unlimited.
 	MaxFiles int
+	// MemoryMB is the memory of the VM in MB. 0 means unknown.
+	MemoryMB int
 }
 
 const (
@@ -26,6 +28,7 @@
 
 	bitsPerByte = 8
 	megabit     = 1e6
+	megabyte    = 1 << 20
 )
 
 // capacity returns the rate of requests per second that the VM can sustain.
@@ -67,3 +70,19 @@
 
 // targetConnections returns the maximum number of connections to targets. 0 means unlimited.
 func (r Resources) targetConnections() int { return r.connections() - r.callerConnections() }
+
+const (
+	// responseFraction is the fraction of the VM's memory that incomplete responses may take.
+	// While a buffer grows or a response is passed on there are up to three copies of it.
+	responseFraction = 0.1
+	// defaultResponseBytes is assumed for VMs whose memory is unknown.
+	defaultResponseBytes = 16 * megabyte
+)
+
+// responseBytes returns the maximum size of all incomplete responses of targets together.
+func (r Resources) responseBytes() int64 {
+	if r.MemoryMB <= 0 {
+		return defaultResponseBytes
+	}
+	return int64(float64(r.MemoryMB) * megabyte * responseFraction)
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -162,6 +162,7 @@
 		ProbeRate:   d.settings.ProbeRate,
 
 		TargetConnections: d.settings.Resources.targetConnections(),
+		ResponseBytes:     d.settings.Resources.responseBytes(),
 	}, d.log)
 	handler, err := d.newPortDispatcher()
 	if err != nil {
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -152,7 +152,7 @@
 func (c *Coordinator) Lift(content Content) bool {
 	known := false
 	c.update(func() []RetryDecision {
-		known = c.tracker.Lift(content)
+		known = c.tracker.Lift(time.Now(), content)
 		return nil
 	})
 	return known
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -31,8 +31,13 @@
 	queueWindow = time.Second
 	// turnTimeout bounds the time for which the retry of one suspect holds up the others.
 	turnTimeout = 2 * time.Second
+	// liftMemory is how long suspects that other daemons tell are ignored after their content
+	// was lifted. It outlasts a message, which may have been sent before the lift.
+	liftMemory = 2 * time.Second
 	// maxSuspects bounds the suspects that a tracker stores.
 	maxSuspects = 4096
+	// maxLifted is the number of lifted contents from which old ones are forgotten.
+	maxLifted = 256
 )
 
 // Content is a fingerprint that identifies the content of a request.
@@ -58,10 +63,14 @@
 type Tracker struct {
 	suspects map[Content]*Suspect
 	queues   []*retryQueue
+	// lifted is when contents were lifted, at least those of the last liftMemory.
+	lifted map[Content]time.Time
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{suspects: map[Content]*Suspect{}} }
+func NewTracker() *Tracker {
+	return &Tracker{suspects: map[Content]*Suspect{}, lifted: map[Content]time.Time{}}
+}
 
 // Quarantined reports whether content must not be run.
 func (t *Tracker) Quarantined(now time.Time, content Content) bool {
@@ -101,6 +110,7 @@
 // suspect to announce to other daemons. It does not queue a retry: callers use it when
 // they retry the requests of a dead target at different targets.
 func (t *Tracker) RecordDeath(now time.Time, failed *FailedRequest) Suspect {
+	delete(t.lifted, failed.Content)
 	suspect := t.findOrAdd(now, failed)
 	suspect.add(Death{Target: failed.Target, SentAt: failed.SentAt, At: now})
 	return t.copy(suspect)
@@ -144,7 +154,7 @@
 	var decisions []RetryDecision
 	for _, received := range suspects {
 		failed := &FailedRequest{Content: received.Content, Service: received.Service, Type: received.Type}
-		if len(received.Deaths) == 0 || received.Expired(now) {
+		if len(received.Deaths) == 0 || received.Expired(now) || t.liftedLately(now, received.Content) {
 			continue
 		}
 		suspect := t.findOrAdd(now, failed)
@@ -198,12 +208,34 @@
 }
 
 // Lift deletes the suspect with the given content. It returns false if there is none.
-func (t *Tracker) Lift(content Content) bool {
+func (t *Tracker) Lift(now time.Time, content Content) bool {
 	_, known := t.suspects[content]
 	delete(t.suspects, content)
+	t.forgetLifted(now)
+	t.lifted[content] = now
 	return known
 }
 
+// forgetLifted makes room if many contents were lifted.
+func (t *Tracker) forgetLifted(now time.Time) {
+	if len(t.lifted) < maxLifted {
+		return
+	}
+	for content := range t.lifted {
+		if !t.liftedLately(now, content) {
+			delete(t.lifted, content)
+		}
+	}
+	if len(t.lifted) >= maxSuspects {
+		clear(t.lifted)
+	}
+}
+
+func (t *Tracker) liftedLately(now time.Time, content Content) bool {
+	liftedAt, lifted := t.lifted[content]
+	return lifted && now.Sub(liftedAt) < liftMemory
+}
+
 // Expire ends retry turns that have timed out and deletes expired suspects.
 func (t *Tracker) Expire(now time.Time) []RetryDecision {
 	var decisions []RetryDecision
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -94,10 +94,22 @@
 	second.Merge(after(12), []Suspect{announced})
 	require.Empty(t, queueRetry(second, 1, "b", 20, 30))
 	require.True(t, second.Quarantined(after(40), 1))
-	require.True(t, second.Lift(1))
+	require.True(t, second.Lift(after(40), 1))
 	require.False(t, second.Suspected(after(40), 1))
 }
 
+// A message that was sent before a content was lifted must not make it suspected again.
+func TestLateMessageDoesNotUndoALift(t *testing.T) {
+	tracker := NewTracker()
+	suspect := Suspect{Content: 1, Deaths: []Death{{Target: "a", SentAt: after(0), At: after(10)}}}
+	tracker.Merge(after(20), []Suspect{suspect})
+	require.True(t, tracker.Lift(after(30), 1))
+	tracker.Merge(after(40), []Suspect{suspect})
+	require.False(t, tracker.Suspected(after(50), 1))
+	queueRetry(tracker, 1, "b", 60, 70)
+	require.True(t, tracker.Suspected(after(80), 1), "a death after the lift counts")
+}
+
 // Two daemons share two targets. One content crashes each target that runs it; callers keep
 // resending it, one copy at a time. It must be quarantined after few deaths, and no content
 // that was only present at its deaths may be.
@@ -194,7 +206,7 @@
 			cleared, decisions := s.trackers[run.tracker].RecordEnd(s.now, run.content, true)
 			for _, other := range s.trackers {
 				if cleared {
-					other.Lift(run.content)
+					other.Lift(s.now, run.content)
 				}
 			}
 			s.resume(run.tracker, decisions)
--- a/internal/quarantine/retryqueue.go
+++ b/internal/quarantine/retryqueue.go
@@ -89,7 +89,7 @@
 // cleared of suspicion. RecordEnd returns whether a suspect was cleared, and the retries
 // that are decided.
 func (t *Tracker) RecordEnd(now time.Time, content Content, answered bool) (bool, []RetryDecision) {
-	cleared := answered && t.Lift(content)
+	cleared := answered && t.suspects[content] != nil && t.Lift(now, content)
 	var decisions []RetryDecision
 	for _, queue := range t.queues {
 		decisions = append(decisions, t.endTurn(now, queue, content)...)
--- a/internal/targetclient/errors.go
+++ b/internal/targetclient/errors.go
@@ -57,6 +57,15 @@
 	return fmt.Sprintf("response is for attempt %q, want %q", e.Have, e.Want)
 }
 
+// MalformedError reports a part of a response that the codec rejects. It is an ErrMalformed.
+type MalformedError struct{ Cause error }
+
+// Error implements error.
+func (e *MalformedError) Error() string { return fmt.Sprintf("malformed response: %v", e.Cause) }
+
+// Unwrap returns ErrMalformed and the cause.
+func (e *MalformedError) Unwrap() []error { return []error{ErrMalformed, e.Cause} }
+
 // UnidentifiedError reports a response that doesn't say to which request it is.
 type UnidentifiedError struct{ Status int }
 
--- a/internal/targetclient/receiver.go
+++ b/internal/targetclient/receiver.go
@@ -142,7 +142,7 @@
 	reader := headerreader.Acquire(header, len(header))
 	defer reader.Release()
 	if err := response.Header.Read(reader.Buffered); err != nil {
-		return err
+		return &MalformedError{Cause: err}
 	}
 	if reader.Unread() > 0 {
 		return ErrMalformed
@@ -227,10 +227,10 @@
 	defer reader.Release()
 	r.response.SwapBody(make([]byte, 0, r.chunks.Payload()+len("\r\n")))
 	if err := r.response.ReadBody(reader.Buffered, MaxResponseBytes); err != nil {
-		return err
+		return &MalformedError{Cause: err}
 	}
 	if err := r.response.Header.ReadTrailer(reader.Buffered); err != nil {
-		return err
+		return &MalformedError{Cause: err}
 	}
 	if reader.Unread() > 0 {
 		return ErrMalformed
