--- a/internal/framing/chunks_test.go
+++ b/internal/framing/chunks_test.go
@@ -10,13 +10,13 @@
 const encoded = "5;name=\"v\"\r\nhello\r\nA \r\n0123456789\r\n0\r\nX-Sum: 1\r\nY: 2\r\n\r\n"
 
 // scanPieces scans a body that grows by the given number of bytes a call.
-func scanPieces(body []byte, step int, limit int) (size int, complete bool, err error, payload int) {
+func scanPieces(body []byte, step int, limit int) (size int, complete bool, payload int, err error) {
 	chunks := Chunks{MaxPayload: limit}
 	for end := 0; ; end += step {
 		end = min(end, len(body))
 		size, complete, err = chunks.Scan(body[:end:end])
 		if complete || err != nil || end == len(body) {
-			return size, complete, err, chunks.Payload()
+			return size, complete, chunks.Payload(), err
 		}
 	}
 }
@@ -60,7 +60,7 @@
 		"too large":          {"65\r\n", BodyTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, _, err, _ := scanPieces([]byte(test.body), 7, 100)
+			_, _, _, err := scanPieces([]byte(test.body), 7, 100)
 			var invalid *ChunkError
 			require.ErrorAs(t, err, &invalid)
 			require.Equal(t, test.problem, invalid.Problem)
@@ -76,7 +76,7 @@
 	}
 	f.Fuzz(func(t *testing.T, body []byte, step uint8) {
 		const limit = 1 << 10
-		size, complete, err, payload := scanPieces(body, int(step)+1, limit)
+		size, complete, payload, err := scanPieces(body, int(step)+1, limit)
 		whole := Chunks{MaxPayload: limit}
 		wholeSize, wholeComplete, wholeErr := whole.Scan(body)
 		require.Equal(t, wholeComplete, complete)
