Finish requests that have arrived in part before a planned exit

Cause: a draining daemon ended once no request was in progress; one of which the header or the body had arrived in part was cut off without an answer. And a request read between the last look and the exit was cut off after it was read. Change: the daemon also waits for requests that are arriving, and refuses (503, Retry-After) what comes in the last moment before its exit instead of accepting it.

--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -159,6 +159,9 @@
 // InFlight returns the number of unanswered requests.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
+// Receiving reports whether a request has arrived in part.
+func (s *Server) Receiving() bool { return s.buffered.Load() > 0 }
+
 // Connections returns the number of open connections.
 func (s *Server) Connections() int { return int(s.openConnections.Load()) }
 
--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -19,13 +19,27 @@
 	d.server.Drain()
 	d.log.WithField("in_flight", d.server.InFlight()).Info("leaving")
 	go d.deregister()
-	for time.Now().Before(end) {
+	d.awaitIdle(began.Add(directoryCacheFactor*directoryTTL+exitMargin), end)
+	d.stop()
+}
+
+// awaitIdle waits from earliest until no request is in progress or arriving, and until latest at
+// most. Before the exit, requests are refused for a moment instead of accepted, so that the exit
+// cuts off none that was read just before it.
+func (d *Daemon) awaitIdle(earliest, latest time.Time) {
+	refusing := false
+	for time.Now().Before(latest) {
 		time.Sleep(drainPollInterval)
-		if time.Since(began) > directoryCacheFactor*directoryTTL+exitMargin && d.server.InFlight() == 0 {
-			break
+		if time.Now().Before(earliest) || d.server.InFlight() > 0 || d.server.Receiving() {
+			continue
 		}
+		if refusing {
+			return
+		}
+		refusing = true
+		now := time.Now()
+		d.gateway.BeginDrain(now, now)
 	}
-	d.stop()
 }
 
 // stop stops the daemon at once.
