--- a/test/e2e/quarantine_test.go
+++ b/test/e2e/quarantine_test.go
@@ -169,14 +169,15 @@
 	}
 	c.check(0, "killer", true, 0)
 	for range others {
-		require.Equal(t, wire.OutcomeRan, <-outcomes)
+		outcome := <-outcomes
+		require.Equal(t, wire.OutcomeRan, outcome, "suspects: %+v, %+v", c.suspects(0), c.suspects(1))
 	}
 	for resend := range 4 {
 		c.check(resend%2, "killer", true, resend+1)
 	}
 	require.LessOrEqual(t, c.dead(), quarantine.DeathLimit+1)
 	for _, suspect := range c.suspects(0) {
-		require.True(t, suspect.Quarantined)
+		require.True(t, suspect.Quarantined, "suspects: %+v, %+v", c.suspects(0), c.suspects(1))
 	}
 	require.Len(t, c.suspects(0), 1)
 }
