--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,10 @@
 
 bench-policy-full:
 	$(GO) run ./bench/policy --full
+
+# The regular set of deployments on the users' bench: BENCH is its path, SITES are the files of
+# the deployments. Prints the gate, the worth and its change since the entry before.
+.PHONY: regression
+WHY ?= regular set
+regression: build
+	$(GO) run ./platform/regression -bench "$(BENCH)" -why "$(WHY)" $(SITES)
