Release the claim of a request once, and let it expire

Found while reading the change: of two attempts of one request that crash their targets, the one that is refused a claim cleared the mark of the other's, which then was never released, and the content was refused by this daemon and blocked claims of the others for good. The claim's state is a type of its own now (quarantine.Holder), and a claim lasts a minute at most. TestClaimOfARequestWithTwoAttemptsIsReleasedOnce and TestClaimExpires.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,9 +37,8 @@
 	done bool
 	// sending is the number of attempts that have not ended.
 	sending int
-	// claimed is set while the call holds the claim of its content, which is suspected of
-	// crashing targets.
-	claimed bool
+	// claim is that of the call's content, if it is suspected of crashing targets.
+	claim quarantine.Holder
 }
 
 // findRoute returns the route of a request, or nil if there is none.
@@ -88,7 +87,7 @@
 	switch {
 	case c.done:
 	case standing == quarantine.Suspected:
-		c.claim()
+		c.awaitClaim()
 	default:
 		c.submit()
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -41,12 +41,12 @@
 	return keeper.Standing(now, c.content())
 }
 
-// claim lets the call be submitted once the other daemons have confirmed that its content,
+// awaitClaim lets the call be submitted once the other daemons have confirmed that its content,
 // which is suspected, may be sent. If they don't, the call is refused.
-func (c *call) claim() {
+func (c *call) awaitClaim() {
 	c.gateway.quarantine.Claim(c.started, c.content(), func(granted bool) {
 		c.gateway.runOnLoop(func() {
-			c.claimed = granted
+			c.claim.Granted(granted)
 			if c.done {
 				c.releaseClaim()
 				return
@@ -63,8 +63,7 @@
 // releaseClaim ends the call's claim once the caller has its response and no target runs the
 // call.
 func (c *call) releaseClaim() {
-	if c.claimed && c.done && c.sending == 0 {
-		c.claimed = false
+	if c.done && c.sending == 0 && c.claim.TakeRelease() {
 		c.gateway.quarantine.Release(c.content())
 	}
 }
@@ -72,7 +71,7 @@
 // maySend reports whether the call may be sent to a target. Its content may have become
 // suspected while the call was queued.
 func (c *call) maySend(now time.Time) bool {
-	return c.claimed || c.standing(now) == quarantine.Unsuspected
+	return c.claim.Holds() || c.standing(now) == quarantine.Unsuspected
 }
 
 // closedByTarget reports whether an attempt ended because the target closed the
@@ -116,25 +115,26 @@
 	c := a.call
 	content := c.content()
 	keeper := c.gateway.quarantine
-	keeper.RecordDeath(closedAt, &quarantine.FailedRequest{
+	failed := &quarantine.FailedRequest{
 		Content:    content,
 		Service:    c.service.name,
 		Type:       c.route.Name,
 		Target:     a.placed.Target.ID,
 		SentAt:     a.sentAt,
-		HoldsClaim: c.claimed,
-		Resume: func(allowed bool) {
-			c.gateway.runOnLoop(func() {
-				keeper.EndCheck(content)
-				c.claimed = allowed
-				if held {
-					result.Quarantined = !allowed
-					a.finish(time.Now(), result)
-				}
-				c.releaseClaim()
-			})
-		},
-	})
+		HoldsClaim: c.claim.Holds(),
+	}
+	failed.Resume = func(allowed bool) {
+		c.gateway.runOnLoop(func() {
+			keeper.EndCheck(content)
+			c.claim.Resumed(failed, allowed)
+			if held {
+				result.Quarantined = !allowed
+				a.finish(time.Now(), result)
+			}
+			c.releaseClaim()
+		})
+	}
+	keeper.RecordDeath(closedAt, failed)
 }
 
 // clearSuspicion reports a response to the quarantine, which clears the call's content of
--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -30,20 +30,30 @@
 // claims holds the contents that must not be sent by other requests at present. It is not
 // safe for concurrent use.
 type claims struct {
-	// held are the contents of which one request holds the claim.
-	held map[Content]bool
+	// held are the contents of which one request holds the claim, with the time since which it
+	// does.
+	held map[Content]time.Time
 	// checks counts the targets that are being checked, by the content that they ran.
 	checks map[Content]int
 }
 
-func newClaims() claims { return claims{held: map[Content]bool{}, checks: map[Content]int{}} }
+func newClaims() claims { return claims{held: map[Content]time.Time{}, checks: map[Content]int{}} }
+
+// claimTimeout is how long a claim lasts at most. No request is in progress for longer.
+const claimTimeout = time.Minute
+
+// isHeld reports whether a request holds the claim of a content.
+func (c *claims) isHeld(now time.Time, content Content) bool {
+	since, held := c.held[content]
+	return held && now.Sub(since) < claimTimeout
+}
 
 // acquire claims a content and returns false if it is claimed already.
-func (c *claims) acquire(content Content) bool {
-	if c.held[content] {
+func (c *claims) acquire(now time.Time, content Content) bool {
+	if c.isHeld(now, content) {
 		return false
 	}
-	c.held[content] = true
+	c.held[content] = now
 	return true
 }
 
@@ -56,7 +66,9 @@
 }
 
 // blocks reports whether a request that holds no claim must not be sent.
-func (c *claims) blocks(content Content) bool { return c.held[content] || c.checks[content] > 0 }
+func (c *claims) blocks(now time.Time, content Content) bool {
+	return c.isHeld(now, content) || c.checks[content] > 0
+}
 
 // size returns the number of contents with a claim or a check.
 func (c *claims) size() int { return len(c.held) + len(c.checks) }
@@ -86,7 +98,7 @@
 	switch {
 	case c.tracker.Quarantined(now, content):
 		return Quarantined
-	case c.claims.blocks(content):
+	case c.claims.blocks(now, content):
 		return Undecided
 	case c.tracker.Suspected(now, content):
 		return Suspected
@@ -104,7 +116,7 @@
 	c.update(func() []RetryDecision {
 		if found := c.tracker.find(now, content); found != nil {
 			suspect = c.tracker.copy(found)
-			claimed = !c.claims.blocks(content) && c.claims.acquire(content)
+			claimed = !c.claims.blocks(now, content) && c.claims.acquire(now, content)
 		}
 		return nil
 	})
@@ -134,3 +146,28 @@
 	}
 	return granted
 }
+
+// Holder is the state of one request's claim, which several attempts of the request may change.
+// The zero value holds none. It is not safe for concurrent use.
+type Holder struct{ holds bool }
+
+// Holds reports whether the request holds the claim.
+func (h *Holder) Holds() bool { return h.holds }
+
+// Granted records the result of Coordinator.Claim.
+func (h *Holder) Granted(granted bool) { h.holds = granted }
+
+// Resumed records whether a failed attempt may be retried. An attempt that was refused a claim
+// doesn't end that of another attempt.
+func (h *Holder) Resumed(failed *FailedRequest, allowed bool) {
+	if allowed || failed.HoldsClaim {
+		h.holds = allowed
+	}
+}
+
+// TakeRelease returns true once if the claim is held, which the caller must then release.
+func (h *Holder) TakeRelease() bool {
+	held := h.holds
+	h.holds = false
+	return held
+}
--- a/internal/quarantine/claim_test.go
+++ b/internal/quarantine/claim_test.go
@@ -146,6 +146,36 @@
 	require.LessOrEqual(t, granted, 1)
 }
 
+// Two attempts of one request crash their targets. The second one, which gets no claim, must not
+// make the claim of the first one outlive the request.
+func TestClaimOfARequestWithTwoAttemptsIsReleasedOnce(t *testing.T) {
+	peers := &respondingPeers{}
+	coordinator := NewCoordinator(peers)
+	peers.coordinator = coordinator
+	now := time.Now()
+	var holder Holder
+	for _, target := range []string{"target-1", "target-2"} {
+		failed := &FailedRequest{Content: 7, Target: target, SentAt: now.Add(-time.Millisecond), HoldsClaim: holder.Holds()}
+		failed.Resume = func(allowed bool) { holder.Resumed(failed, allowed) }
+		coordinator.RecordDeath(now, failed)
+	}
+	require.True(t, holder.Holds())
+	coordinator.Release(7)
+	require.Equal(t, Suspected, coordinator.Standing(now, 7))
+}
+
+// A claim whose holder never releases it must not block the content for good.
+func TestClaimExpires(t *testing.T) {
+	peers := &respondingPeers{}
+	coordinator := NewCoordinator(peers)
+	peers.coordinator = coordinator
+	now := time.Now()
+	coordinator.Merge(now, []Suspect{{Content: 7, Deaths: []Death{{Target: "target-1", SentAt: now.Add(-time.Second), At: now}}}})
+	coordinator.Claim(now, 7, func(granted bool) { require.True(t, granted) })
+	require.Equal(t, Undecided, coordinator.Standing(now.Add(claimTimeout-time.Second), 7))
+	require.Equal(t, Suspected, coordinator.Standing(now.Add(claimTimeout), 7))
+}
+
 // A claim that was refused or released can be acquired again.
 func TestClaimCanBeAcquiredAfterRelease(t *testing.T) {
 	peers := &respondingPeers{}
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -96,7 +96,7 @@
 	claimed := false
 	c.update(func() []RetryDecision {
 		suspect = c.tracker.RecordDeath(now, failed)
-		claimed = failed.HoldsClaim || c.claims.acquire(failed.Content)
+		claimed = failed.HoldsClaim || c.claims.acquire(time.Now(), failed.Content)
 		return nil
 	})
 	c.peers.Announce(suspect, func(answers Answers) {
@@ -142,7 +142,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, suspect := range suspects {
-		claimed = claimed || c.claims.blocks(suspect.Content)
+		claimed = claimed || c.claims.blocks(now, suspect.Content)
 	}
 	return c.tracker.Lookup(now, suspects), claimed
 }
