Decide once whether a broadcast waits for another zone

Found while reading the change: whether a zone is silent was looked up when the awaited zones were counted and again when its answer came. A zone that another broadcast found to answer in between was counted down without having been counted, so that the broadcast was complete one answer early, and a suspected request could be sent although a daemon hadn't answered. It is decided once now.

--- a/internal/gatewayd/broadcast.go
+++ b/internal/gatewayd/broadcast.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 )
@@ -98,15 +99,17 @@
 	peers := p.daemon.node.ActivePeers()
 	zones := p.daemon.node.OtherZonePeers(relaysPerZone)
 	groups := len(peers)
-	for _, zone := range zones {
-		if !p.isSilent(zone.Zone) {
+	awaited := make([]bool, len(zones))
+	for i, zone := range zones {
+		awaited[i] = !p.isSilent(zone.Zone)
+		if awaited[i] {
 			groups++
 		}
 	}
 	b := newBroadcast(groups)
 	p.sendToPeers(b, peers, method, local)
-	for _, zone := range zones {
-		go p.sendToZone(b, zone.Zone, zone.Addresses, method, remote)
+	for i, zone := range zones {
+		go p.sendToZone(b, zone, awaited[i], method, remote)
 	}
 	return b.await(broadcastWait)
 }
@@ -122,26 +125,25 @@
 	}
 }
 
-// sendToZone sends a message to daemons of another zone, one of which has to answer for all of
-// the zone. It records whether the zone is silent.
-func (p *quarantinePeers) sendToZone(b *broadcast, zone string, addresses []string, method string, message any) {
-	awaited := !p.isSilent(zone)
+// sendToZone sends a message to daemons of another zone. If the zone is awaited, one of them has
+// to answer for all of it. It records whether the zone is silent.
+func (p *quarantinePeers) sendToZone(b *broadcast, zone heartbeat.ZonePeers, awaited bool, method string, message any) {
 	var complete, replied sync.Once
 	var sends sync.WaitGroup
-	for _, address := range addresses {
+	for _, address := range zone.Addresses {
 		sends.Go(func() {
 			reply := p.send(b, address, method, message)
 			if reply == noReply {
 				return
 			}
-			replied.Do(func() { p.setSilent(zone, false) })
+			replied.Do(func() { p.setSilent(zone.Zone, false) })
 			if reply == completeReply && awaited {
 				complete.Do(b.answered)
 			}
 		})
 	}
 	sends.Wait()
-	replied.Do(func() { p.setSilent(zone, true) })
+	replied.Do(func() { p.setSilent(zone.Zone, true) })
 }
 
 func (p *quarantinePeers) isSilent(zone string) bool {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -31,13 +31,8 @@
 	queueWindow = time.Second
 	// turnTimeout bounds the time for which the retry of one suspect holds up the others.
 	turnTimeout = 2 * time.Second
-	// liftMemory is how long suspects that other daemons tell are ignored after their content
-	// was lifted. It outlasts a message, which may have been sent before the lift.
-	liftMemory = 2 * time.Second
 	// maxSuspects bounds the suspects that a tracker stores.
 	maxSuspects = 4096
-	// maxLifted is the number of lifted contents from which old ones are forgotten.
-	maxLifted = 256
 )
 
 // Content is a fingerprint that identifies the content of a request.
@@ -235,35 +230,6 @@
 	return false
 }
 
-// Lift deletes the suspect with the given content. It returns false if there is none.
-func (t *Tracker) Lift(now time.Time, content Content) bool {
-	_, known := t.suspects[content]
-	delete(t.suspects, content)
-	t.forgetLifted(now)
-	t.lifted[content] = now
-	return known
-}
-
-// forgetLifted makes room if many contents were lifted.
-func (t *Tracker) forgetLifted(now time.Time) {
-	if len(t.lifted) < maxLifted {
-		return
-	}
-	for content := range t.lifted {
-		if !t.liftedLately(now, content) {
-			delete(t.lifted, content)
-		}
-	}
-	if len(t.lifted) >= maxSuspects {
-		clear(t.lifted)
-	}
-}
-
-func (t *Tracker) liftedLately(now time.Time, content Content) bool {
-	liftedAt, lifted := t.lifted[content]
-	return lifted && now.Sub(liftedAt) < liftMemory
-}
-
 // Expire ends retry turns that have timed out and deletes expired suspects.
 func (t *Tracker) Expire(now time.Time) []RetryDecision {
 	var decisions []RetryDecision
