Count the death of a target that restarted within 300 ms

The requests that met a dead target were sent 6 to 11 ms after its death, so 100 ms tell the two apart. TestQuickRestartCountsAsFurtherDeath failed with 300 ms.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -112,6 +112,14 @@
 	require.False(t, tracker.Quarantined(after(161), harmless))
 }
 
+// A target that restarts in 200 ms and dies again counts as a further death.
+func TestQuickRestartCountsAsFurtherDeath(t *testing.T) {
+	tracker := NewTracker()
+	tracker.RecordDeath(after(8), &FailedRequest{Content: crashing, Target: "target-4", SentAt: after(0)})
+	tracker.RecordDeath(after(225), &FailedRequest{Content: crashing, Target: "target-4", SentAt: after(218)})
+	require.True(t, tracker.Quarantined(after(230), crashing))
+}
+
 // A message that was sent before a content was lifted must not make it suspected again.
 func TestLateMessageDoesNotUndoALift(t *testing.T) {
 	tracker := NewTracker()
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -21,8 +21,9 @@
 	return d.Target == other.Target && !d.SentAt.After(other.At) && !other.SentAt.After(d.At)
 }
 
-// minRestart is the shortest time in which a target restarts.
-const minRestart = 300 * time.Millisecond
+// minRestart is the shortest time in which a target restarts: starting a process and listing it
+// takes longer.
+const minRestart = 100 * time.Millisecond
 
 // sentToDead reports whether the request was sent so soon after another death of the target that
 // it can't have restarted. The request was then lost at a dead target: its daemon didn't know of
