Count and log the requests that a gateway ends as wrong

The daemons left no trace by which the ways to such a status could be told apart: a request that can't be parsed (400, 413, 417, 431) was neither logged nor counted, and one without route (404) was counted with all refusals and logged without its path.

Now poplarwheel_gateway_rejections_total counts both by reason, the dump shows them, 'request rejected' tells the limits in force, 'request not placed' path and revision, 'configuration in force' the limits, and configurations that were invalid are counted.

No decision changes.

--- a/internal/callerserver/limits.go
+++ b/internal/callerserver/limits.go
@@ -35,6 +35,7 @@
 	if !errors.As(err, &parseErr) {
 		return gnet.Close
 	}
+	s.rejections.record(parseErr, state.callerIP, s.limits.Load())
 	s.trackBuffered(state, 0)
 	_, _ = conn.Write(closingResponse(parseErr))
 	_ = s.closeGracefully(conn, state)
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -70,8 +70,10 @@
 	handler Handler
 	limits  atomic.Pointer[Limits]
 	log     logrus.FieldLogger
-	engine  gnet.Engine
-	started chan struct{}
+	// rejections counts and logs the requests that can't be parsed.
+	rejections *rejections
+	engine     gnet.Engine
+	started    chan struct{}
 	// loop receives the event loop that accepted the first connection.
 	loop     chan gnet.EventLoop
 	inFlight atomic.Int64
@@ -86,7 +88,7 @@
 
 // New returns a server. It accepts connections once Run or RunSingleLoop is called.
 func New(handler Handler, limits Limits, log logrus.FieldLogger) *Server {
-	s := &Server{handler: handler, log: log, started: make(chan struct{}), loop: make(chan gnet.EventLoop, 1)}
+	s := &Server{handler: handler, log: log, rejections: newRejections(log), started: make(chan struct{}), loop: make(chan gnet.EventLoop, 1)}
 	s.SetLimits(limits)
 	return s
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -64,6 +64,7 @@
 	}
 	r := g.findRoute(request)
 	if r == nil {
+		g.counts.NoRoute++
 		g.refuseUnplaced(request, exchange, fasthttp.StatusNotFound, reasonNoRoute)
 		return
 	}
@@ -212,7 +213,7 @@
 // refuseUnplaced refuses a request before it is passed to a pool.
 func (g *Gateway) refuseUnplaced(request *fasthttp.Request, exchange *callerserver.Exchange, status int, reason string) {
 	g.counts.Refused++
-	g.log.notPlaced(g.options.Dialect.RequestID(request), request, status, reason)
+	g.log.notPlaced(g, request, status, reason)
 	response := newErrorResponse(status, reason)
 	if status == fasthttp.StatusServiceUnavailable {
 		setRetryAfter(response, retryAfterFor(reason))
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -17,6 +17,8 @@
 	// Refused counts requests that were not executed, Unknown those that may have been
 	// executed without a response.
 	Refused uint64 `json:"refused"`
+	// NoRoute counts those of the refused requests for which there was no route.
+	NoRoute uint64 `json:"no_route"`
 	Unknown uint64 `json:"unknown"`
 	// Disconnected counts callers that disconnected before their response.
 	Disconnected uint64 `json:"gone"`
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -56,6 +56,9 @@
 		"revision": table.Revision(),
 		"routes":   len(table.Routes()),
 		"services": len(table.Services()),
+
+		"header_bytes_limit": table.Limits().HeaderBytes,
+		"body_bytes_limit":   table.Limits().BodyBytes,
 	}).Info("configuration in force")
 }
 
@@ -125,14 +128,16 @@
 }
 
 // notPlaced logs a request that was refused before it was passed to a pool.
-func (l *eventLog) notPlaced(id []byte, request *fasthttp.Request, status int, reason string) {
+func (l *eventLog) notPlaced(g *Gateway, request *fasthttp.Request, status int, reason string) {
 	if !l.allow() {
 		return
 	}
 	l.log.WithFields(logrus.Fields{
-		"request": string(id),
-		"host":    string(request.Header.Host()),
-		"status":  status,
-		"reason":  reason,
+		"request":  string(g.options.Dialect.RequestID(request)),
+		"host":     string(request.Header.Host()),
+		"path":     string(rawPath(request)),
+		"status":   status,
+		"reason":   reason,
+		"revision": g.Revision(),
 	}).Warn("request not placed")
 }
--- a/internal/gatewayd/admin.go
+++ b/internal/gatewayd/admin.go
@@ -45,6 +45,10 @@
 	// Suspects are the contents of requests during which targets died.
 	Suspects []quarantine.Suspect `json:"suspects"`
 	Gateway  gateway.State        `json:"gateway"`
+	// Rejections counts the requests of callers that could not be parsed, by reason.
+	Rejections map[string]uint64 `json:"rejections"`
+	// RejectedConfigs counts the configurations that were invalid.
+	RejectedConfigs uint64 `json:"rejected_configurations"`
 	// Breaches counts violations of invariants.
 	Breaches map[invariant.Name]uint64 `json:"breaches"`
 }
@@ -61,6 +65,8 @@
 		Members:             d.node.Members(),
 		Suspects:            d.quarantine.Suspects(time.Now()),
 		Gateway:             d.gateway.State(),
+		Rejections:          d.server.Rejections(),
+		RejectedConfigs:     d.rejectedConfigs.Load(),
 		Breaches:            invariant.Breaches(),
 	}
 }
@@ -109,6 +115,8 @@
 	probesDesc              = newDesc("probes_total", "Questions to targets for their load, by result.", "result")
 	queuedDesc              = newDesc("queued", "Requests that wait for a target, by service.", "service")
 	targetsDesc             = newDesc("targets", "Targets, by service and state.", "service", "state")
+	rejectionsDesc          = newDesc("rejections_total", "Requests that were refused because they can't be parsed or have no route, by reason.", "reason")
+	rejectedConfigsDesc     = newDesc("rejected_configurations_total", "Configurations that were invalid and were not put in force.")
 	revisionDesc            = newDesc("revision", "Revision of the configuration in force.")
 	platformUnavailableDesc = newDesc("platform_away", "1 while the platform doesn't answer.")
 	violationsDesc          = newDesc("invariant_breaches_total", "Breaches of what must always hold, by invariant.", "invariant")
@@ -119,7 +127,7 @@
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, platformUnavailableDesc, advertisedDesc, suspectsDesc, violationsDesc,
+		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, platformUnavailableDesc, advertisedDesc, suspectsDesc, violationsDesc, rejectionsDesc, rejectedConfigsDesc,
 	} {
 		descriptions <- d
 	}
@@ -140,6 +148,11 @@
 	counter(answersDesc, counts.Refused, "refused")
 	counter(answersDesc, counts.Unknown, "unknown")
 	counter(answersDesc, counts.Disconnected, "caller_gone")
+	counter(rejectionsDesc, counts.NoRoute, "no_route")
+	for reason, count := range c.daemon.server.Rejections() {
+		counter(rejectionsDesc, count, reason)
+	}
+	counter(rejectedConfigsDesc, c.daemon.rejectedConfigs.Load())
 	counter(lateDesc, counts.Late)
 	counter(sentDesc, counts.Sent)
 	for violation, count := range counts.Violations {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -75,6 +75,9 @@
 	// quarantine detects requests that crash targets.
 	quarantine *quarantine.Coordinator
 
+	// rejectedConfigs counts the configurations that were invalid.
+	rejectedConfigs atomic.Uint64
+
 	hasConfig  atomic.Bool
 	hasTargets atomic.Bool
 	// stopping is set once the daemon drains or stops.
--- a/internal/gatewayd/feeds.go
+++ b/internal/gatewayd/feeds.go
@@ -29,7 +29,7 @@
 	if err := d.servePeers(store, client); err != nil {
 		return err
 	}
-	config := &feed.ConfigMirror{Name: feeds.ConfigName, Decode: feeds.DecodeConfig, OnChange: d.configure, Log: d.log}
+	config := &feed.ConfigMirror{Name: feeds.ConfigName, Decode: d.countRejected(feeds.DecodeConfig), OnChange: d.configure, Log: d.log}
 	targets := feed.NewTargetMirror(feeds.DecodeTarget, d.setTargets, d.log)
 	go d.monitor.Run()
 	go feed.NewFollower(store, d.monitor, feeds.ConfigKind, config, d.log).Run()
@@ -62,6 +62,18 @@
 	d.updateReadiness()
 }
 
+// countRejected returns a function that decodes a configuration by decode and counts those that
+// are invalid.
+func (d *Daemon) countRejected(decode func(spec []byte) (*route.Table, error)) func(spec []byte) (*route.Table, error) {
+	return func(spec []byte) (*route.Table, error) {
+		table, err := decode(spec)
+		if err != nil {
+			d.rejectedConfigs.Add(1)
+		}
+		return table, err
+	}
+}
+
 // configure passes a configuration to the gateway, which ignores it if it isn't newer than
 // the active one.
 func (d *Daemon) configure(table *route.Table) {
