Find the route of requests in absolute form and of hosts in capitals

What callers would see: 404 no_route for a proper request whose target is in absolute form ('GET http://host/path'), or whose Host has capitals. RFC 9112 asks each server to accept the first; hosts are compared without case.

Cause: the gateway looked up the host byte by byte, and took the whole target for the path. The same narrowness was looked for in 25 forms of a request; the other 21 were served before (chunks of one byte, trailers, extensions, limits met exactly, empty lines, HTTP/1.0, odd names and paths).

Now the server for callers rewrites the absolute form to the origin form once, with the authority in place of Host, and the table compares hosts in lower case (a second lookup, only where the first finds nothing, so the usual one still doesn't allocate).

TestProperRequestsOfUnusualFormAreServed failed for four forms (404) before, on the real daemon; it passes.

--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -127,6 +127,7 @@
 	if rest := reader.Unread(); rest > 0 {
 		return malformed(&TrailingBytesError{Bytes: rest})
 	}
+	useOriginForm(&request.Header)
 	if !limits.allowsMethod(string(request.Header.Method())) {
 		return rejection(request, fasthttp.StatusNotImplemented, "method_not_supported")
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -6,6 +6,8 @@
 package route
 
 import (
+	"bytes"
+	"strings"
 	"time"
 )
 
@@ -70,7 +72,7 @@
 type Table struct {
 	config   Config
 	services map[string]*Service
-	// routes holds the routes by host and path prefix.
+	// routes holds the routes by host, in lower case, and path prefix.
 	routes map[string]map[string]*Route
 }
 
@@ -92,10 +94,11 @@
 		if err := t.validate(r); err != nil {
 			return nil, err
 		}
-		byPrefix := t.routes[r.Host]
+		host := strings.ToLower(r.Host)
+		byPrefix := t.routes[host]
 		if byPrefix == nil {
 			byPrefix = map[string]*Route{}
-			t.routes[r.Host] = byPrefix
+			t.routes[host] = byPrefix
 		}
 		byPrefix[r.Prefix] = r
 	}
@@ -165,9 +168,12 @@
 func (t *Table) Routes() []*Route { return t.config.Routes }
 
 // Find returns the route of the given host with the longest prefix that matches path, or
-// nil if none matches. The path must not include the query.
+// nil if none matches. The case of the host doesn't matter. The path must not include the query.
 func (t *Table) Find(host, path []byte) *Route {
 	byPrefix := t.routes[string(host)]
+	if byPrefix == nil {
+		byPrefix = t.routes[string(bytes.ToLower(host))]
+	}
 	if byPrefix == nil {
 		return nil
 	}
