Refuse large requests as not run while a daemon has no configuration

What callers would see: 413 or 431 from a gateway daemon that has just started and has no configuration yet (a restart in an outage of the store), for a request within the operator's limits: bodies of up to 64 MiB are configured on the users' deployments, the daemon starts with 1 MiB. A caller doesn't repeat a 413; a 503 it does, at another daemon.

Cause: the limits that bound memory until there is a configuration were taken for the operator's. Limits now say that they are provisional; what exceeds them is refused with 503 not_ready.

--- a/internal/callerserver/limits.go
+++ b/internal/callerserver/limits.go
@@ -35,6 +35,7 @@
 	if !errors.As(err, &parseErr) {
 		return gnet.Close
 	}
+	parseErr = s.limits.Load().judge(parseErr)
 	s.rejections.record(parseErr, state.callerIP, s.limits.Load())
 	s.trackBuffered(state, 0)
 	_, _ = conn.Write(closingResponse(parseErr))
@@ -42,6 +43,18 @@
 	return gnet.None
 }
 
+// reasonNotReady is the error code of a request that exceeds provisional limits.
+const reasonNotReady = "not_ready"
+
+// judge returns the error that the caller is told.
+func (l *Limits) judge(err *ParseError) *ParseError {
+	tooLarge := err.Status == fasthttp.StatusRequestEntityTooLarge || err.Status == fasthttp.StatusRequestHeaderFieldsTooLarge
+	if !l.Provisional || !tooLarge {
+		return err
+	}
+	return &ParseError{Status: fasthttp.StatusServiceUnavailable, Reason: reasonNotReady, FirstSend: err.FirstSend, Cause: err}
+}
+
 // closingResponse returns an error response that announces the close of the connection.
 func closingResponse(err *ParseError) []byte {
 	response := ErrorResponse(err.Status, wire.ErrorReply{
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -40,6 +40,9 @@
 	// BufferedBytes is the maximum size of all incompletely received requests, summed
 	// over all connections. 0 means no limit.
 	BufferedBytes int
+	// Provisional is set while it isn't known which sizes callers may send. A request that
+	// exceeds a maximum size is then refused as not run instead of being called too large.
+	Provisional bool
 }
 
 const (
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -171,7 +171,9 @@
 	if err != nil {
 		return nil, err
 	}
-	d.server = callerserver.New(handler, d.callerLimits(initialLimits), d.log)
+	limits := d.callerLimits(initialLimits)
+	limits.Provisional = true
+	d.server = callerserver.New(handler, limits, d.log)
 	failed := make(chan error, 1)
 	go func() {
 		failed <- d.server.RunSingleLoop([]string{d.settings.CallerAddress, d.settings.DirectoryAddress, d.settings.ReadinessAddress})
