Send nothing new to targets that announce that they are leaving

Cause: the gateway took only the list's word for a target's leaving. A target that says so by the header Server-Leaving, with no word in the store, went on getting requests until it exited.

Ruled out: keeping the sign in placement.Target. That value is replaced when an entry is lost and returns or changes its address, so the sign would end with an outdated list. Dealing permits by the sign: daemons that haven't heard it would compute other permits. Telling the peers: each daemon learns it from the first response, which the target serves.

Change: the pool keeps what the processes of targets have announced by id and incarnation, apart from the list, for an hour after the entry was last listed. Only a later incarnation ends it. If all targets are leaving, those that announced it less than 1 s ago are a last resort (they serve for 2 s at least); then requests are refused at once, queued ones too. A queued retry or hedge with no target left ends at once; it used to wait for its deadline.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,6 +69,9 @@
 	c := a.call
 	now := time.Now()
 	result := c.gateway.classify(response, err)
+	if result.Outcome != placement.WrongTarget {
+		c.gateway.log.announcement(now, c.service, a.placed.Target, result.Announcement)
+	}
 	c.gateway.counts.recordViolation(err)
 	if c.gateway.quarantine != nil && closedByTarget(err) {
 		c.gateway.log.attemptFailed(a, result, err)
@@ -144,9 +147,10 @@
 	}
 	info := g.options.Dialect.Classify(response)
 	result := placement.Result{
-		Outcome: placement.Answered,
-		Answer:  response,
-		Report:  info.Report,
+		Outcome:      placement.Answered,
+		Answer:       response,
+		Report:       info.Report,
+		Announcement: info.Announcement,
 	}
 	switch {
 	case info.WrongTarget:
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -39,6 +39,8 @@
 	WrongTarget bool
 	// Report is the target's load report, nil without one.
 	Report *placement.Report
+	// Announcement is what the target announces about the requests that it wants.
+	Announcement placement.Announcement
 }
 
 // ProbeInfo is the information that the response to a health check carries.
@@ -49,6 +51,8 @@
 	Healthy bool
 	// Report is the target's load report, nil without one.
 	Report *placement.Report
+	// Announcement is what the target announces about the requests that it wants.
+	Announcement placement.Announcement
 }
 
 // mayBeFrom reports whether the response may have come from the given target.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -124,6 +124,26 @@
 	entry.Warn("attempt failed")
 }
 
+// announcement logs that a target has begun to leave. It must be called before the pool gets
+// the announcement.
+func (l *eventLog) announcement(now time.Time, s *service, target *placement.Target, announcement placement.Announcement) {
+	if !announcement.Leaving || target.Leaving() || !l.allow() {
+		return
+	}
+	l.ofTarget(now, s, target).Info("target announced that it is leaving")
+}
+
+// ofTarget returns a log entry with the identity of a target.
+func (l *eventLog) ofTarget(now time.Time, s *service, target *placement.Target) *logrus.Entry {
+	return l.log.WithFields(logrus.Fields{
+		"service":     s.name,
+		"target":      target.ID,
+		"incarnation": target.Incarnation,
+		"address":     target.Address,
+		"in_flight":   target.State(now).Own,
+	})
+}
+
 // notPlaced logs a request that was refused before it was passed to a pool.
 func (l *eventLog) notPlaced(id []byte, request *fasthttp.Request, status int, reason string) {
 	if !l.allow() {
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -65,10 +65,24 @@
 // probe sends a target a health check for its load.
 func (g *Gateway) probe(s *service, target *placement.Target) {
 	g.checkHealth(s, target.Address, func(now time.Time, response *fasthttp.Response, err error) {
+		g.recordAnnouncement(now, s, target, response)
 		g.perform(s, g.recordProbe(now, s.pool, target, response, err))
 	})
 }
 
+// recordAnnouncement passes what the response to a health check announces to the target's
+// pool. The response is nil if there is none.
+func (g *Gateway) recordAnnouncement(now time.Time, s *service, target *placement.Target, response *fasthttp.Response) {
+	if response == nil {
+		return
+	}
+	info := g.options.Dialect.ClassifyProbe(response)
+	if info.mayBeFrom(target) && info.Announcement != (placement.Announcement{}) {
+		g.log.announcement(now, s, target, info.Announcement)
+		g.perform(s, s.pool.RecordAnnouncement(now, target, info.Announcement))
+	}
+}
+
 // recordProbe passes the result of a probe to the target's pool.
 func (g *Gateway) recordProbe(now time.Time, pool *placement.Pool, target *placement.Target, response *fasthttp.Response, err error) []placement.Action {
 	if err != nil {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -97,6 +97,7 @@
 	}
 	target := a.placed.Target
 	c.gateway.checkHealth(c.service, target.Address, func(now time.Time, response *fasthttp.Response, err error) {
+		c.gateway.recordAnnouncement(now, c.service, target, response)
 		if err != nil || !c.gateway.options.Dialect.ClassifyProbe(response).mayBeFrom(target) {
 			a.targetDied(closedAt, held, result)
 			return
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -34,7 +34,7 @@
 		}
 		return 0
 	})
-	healthFilter := p.healthFilter(now)
+	filter := p.targetFilter(now)
 	queued := p.queue[:0]
 	for _, r := range p.queue {
 		if len(r.inFlight) > 0 && !r.inTime(now) {
@@ -42,10 +42,17 @@
 			r.queued = false
 			continue
 		}
-		if t := p.choose(now, r, healthFilter); t != nil {
+		if t := p.choose(now, r, filter); t != nil {
 			p.send(now, r, t)
 			continue
 		}
+		if !p.hasUntriedTarget(filter, now, r) {
+			r.queued = false
+			if len(r.inFlight) == 0 {
+				p.fail(now, r, ReasonNoTarget)
+			}
+			continue
+		}
 		queued = append(queued, r)
 	}
 	clear(p.queue[len(queued):])
@@ -61,12 +68,12 @@
 	if first := p.queue[0]; first.inTime(now) && now.Sub(first.arrived) > contentionWait {
 		p.contendedAt = now
 	}
-	p.probeCandidates(now, healthFilter)
+	p.probeCandidates(now, filter)
 	p.recheckAt = now.Add(recheckInterval)
 }
 
 func (p *Pool) send(now time.Time, r *Request, t *Target) {
-	if t.isLeaving() {
+	if t.isDelisted() || t.announced.leaving() && !t.announced.leavingRecently(now) {
 		invariant.Breached(invariant.LeavingGetsNothing, "request sent to leaving target %s", t.ID)
 	}
 	if !r.Idempotent && (r.mayHaveRun || len(r.inFlight) > 0) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -17,27 +17,57 @@
 	skipEjected
 )
 
-// healthFilter returns the strictest filter that leaves enough targets.
-func (p *Pool) healthFilter(now time.Time) healthFilter {
-	excluded := 0
-	for _, health := range p.group {
-		health.EndExpiredEjection(now)
-		if health.Excluded(now) {
+// targetFilter selects the targets that may get new requests.
+type targetFilter struct {
+	// lastResort selects the targets that have recently announced that they are leaving,
+	// because no other target may get requests.
+	lastResort bool
+	health     healthFilter
+}
+
+// targetFilter returns the strictest filter that leaves enough targets.
+func (p *Pool) targetFilter(now time.Time) targetFilter {
+	filter := targetFilter{lastResort: true}
+	for _, t := range p.list {
+		if !t.isLeaving() {
+			filter.lastResort = false
+			break
+		}
+	}
+	accepting, excluded := 0, 0
+	for _, t := range p.list {
+		if !filter.accepts(now, t) {
+			continue
+		}
+		accepting++
+		t.health.EndExpiredEjection(now)
+		if t.health.Excluded(now) {
 			excluded++
 		}
 	}
-	if excluded <= outlier.MaxExcluded(len(p.group)) {
-		return skipExcluded
+	if excluded > outlier.MaxExcluded(accepting) {
+		filter.health = skipEjected
+	}
+	return filter
+}
+
+// accepts reports whether a target accepts new requests, whatever its health.
+func (f targetFilter) accepts(now time.Time, t *Target) bool {
+	if t.isDelisted() {
+		return false
+	}
+	if f.lastResort {
+		return t.announced.leavingRecently(now)
 	}
-	return skipEjected
+	return !t.announced.leaving()
 }
 
 // allows reports whether a target may get new requests.
-func (f healthFilter) allows(now time.Time, t *Target) bool {
-	if t.isLeaving() {
+func (f targetFilter) allows(now time.Time, t *Target) bool {
+	if !f.accepts(now, t) {
 		return false
 	}
-	if f == skipExcluded {
+	if f.health == skipExcluded {
 		return !t.health.Excluded(now)
 	}
 	return !t.health.Ejected(now)
@@ -45,7 +75,7 @@
 
 // constraints restrict the choice of a target for one request at one time.
 type constraints struct {
-	healthFilter healthFilter
+	targets targetFilter
 	// allowStale allows targets without a fresh report.
 	allowStale bool
 	// localOnly allows only targets of the local zone.
@@ -55,19 +85,19 @@
 }
 
 // constraintsFor returns the constraints that apply to a request now.
-func (p *Pool) constraintsFor(now time.Time, r *Request, healthFilter healthFilter) constraints {
+func (p *Pool) constraintsFor(now time.Time, r *Request, filter targetFilter) constraints {
 	return constraints{
-		healthFilter:  healthFilter,
+		targets:       filter,
 		allowStale:    p.noReports || len(r.inFlight) == 0 && now.Sub(r.arrived) > maxReportWait && p.probes == 0,
-		localOnly:     now.Before(r.crossZoneAllowedAt()) && p.hasLocalTarget(now, healthFilter),
-		ignorePermits: p.lacksPermits(now, healthFilter),
+		localOnly:     now.Before(r.crossZoneAllowedAt()) && p.hasLocalTarget(now, filter),
+		ignorePermits: p.lacksPermits(now, filter),
 	}
 }
 
 // allows reports whether a daemon in the given zone may send the request to a target.
 func (c constraints) allows(now time.Time, t *Target, r *Request, zone string) bool {
 	switch {
-	case !c.healthFilter.allows(now, t), r.hasTried(t), !t.hasRoom(now):
+	case !c.targets.allows(now, t), r.hasTried(t), !t.hasRoom(now):
 		return false
 	case c.localOnly && t.Zone != zone:
 		return false
@@ -78,8 +108,8 @@
 }
 
 // choose returns the target to which a request is sent now, or nil if it has to wait.
-func (p *Pool) choose(now time.Time, r *Request, healthFilter healthFilter) *Target {
-	constraints := p.constraintsFor(now, r, healthFilter)
+func (p *Pool) choose(now time.Time, r *Request, filter targetFilter) *Target {
+	constraints := p.constraintsFor(now, r, filter)
 	var best *Target
 	bestCost := 0.0
 	for _, t := range p.list {
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -38,6 +38,9 @@
 func (p *Pool) recordResult(now time.Time, a *Attempt, result Result) {
 	t := a.Target
 	serviceTime := a.Request.ServiceTime
+	if result.Outcome != WrongTarget {
+		p.recordAnnouncement(now, t, result.Announcement)
+	}
 	if result.Report != nil {
 		p.observe(now, t, *result.Report, 1)
 	}
@@ -100,7 +103,7 @@
 		return ReasonAttemptsUsed, false
 	case !now.Add(r.ServiceTime / 2).Before(r.Deadline):
 		return ReasonTimeout, false
-	case !p.hasUntriedTarget(r):
+	case !p.hasUntriedTarget(p.targetFilter(now), now, r):
 		return ReasonNoTarget, false
 	case outcome != NotSent && !p.budget.Take(now):
 		return ReasonRetryBudget, false
@@ -112,11 +115,11 @@
 	return "", true
 }
 
-// hasUntriedTarget reports whether there is a target that the request was not sent to
-// yet.
-func (p *Pool) hasUntriedTarget(r *Request) bool {
+// hasUntriedTarget reports whether a target accepts requests that the request was not sent
+// to yet.
+func (p *Pool) hasUntriedTarget(filter targetFilter, now time.Time, r *Request) bool {
 	for _, t := range p.list {
-		if !t.isLeaving() && !r.hasTried(t) {
+		if filter.accepts(now, t) && !r.hasTried(t) {
 			return true
 		}
 	}
--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -39,9 +39,9 @@
 func (r *Request) crossZoneCost() float64 { return zoneFactor + zoneFactorPerKB*r.extraKilobytes() }
 
 // hasLocalTarget reports whether any target of the local zone may get requests.
-func (p *Pool) hasLocalTarget(now time.Time, healthFilter healthFilter) bool {
+func (p *Pool) hasLocalTarget(now time.Time, filter targetFilter) bool {
 	for _, t := range p.list {
-		if t.Zone == p.zone && healthFilter.allows(now, t) {
+		if t.Zone == p.zone && filter.allows(now, t) {
 			return true
 		}
 	}
--- a/internal/placement/noreport.go
+++ b/internal/placement/noreport.go
@@ -63,14 +63,14 @@
 
 // lacksPermits reports whether at least half of the daemon's permits are unusable
 // because their targets are excluded, or whether it has none.
-func (p *Pool) lacksPermits(now time.Time, healthFilter healthFilter) bool {
+func (p *Pool) lacksPermits(now time.Time, filter targetFilter) bool {
 	if !p.noReports {
 		return false
 	}
 	assigned, usable := 0, 0
 	for _, t := range p.list {
 		assigned += t.permits
-		if healthFilter.allows(now, t) {
+		if filter.allows(now, t) {
 			usable += t.permits
 		}
 	}
--- a/internal/placement/permits.go
+++ b/internal/placement/permits.go
@@ -90,7 +90,8 @@
 	var serving []*Target
 	maxPermits := 0
 	for _, t := range targets {
-		if !t.isLeaving() {
+		// Announcements don't count: the other daemons may not know them.
+		if !t.isDelisted() {
 			serving = append(serving, t)
 			maxPermits = max(maxPermits, t.concurrencyLimit())
 		}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -57,10 +57,12 @@
 	budget    Budget
 	targets   map[string]*Target
 	list      []*Target
-	group     outlier.Group
-	queue     []*Request
-	actions   []Action
-	sendRate  sendRate
+	// announcements outlives the targets' entries in the list.
+	announcements announcements
+	group         outlier.Group
+	queue         []*Request
+	actions       []Action
+	sendRate      sendRate
 	// monitored holds the attempts that are checked for slowness while they run.
 	monitored []*Attempt
 	// probeLimiter limits the probes to probeRate a second and target; nil means no
@@ -83,7 +85,7 @@
 
 // NewPool returns a pool without targets for a daemon in the given availability zone.
 func NewPool(rng *rand.Rand, zone string, budget Budget) *Pool {
-	return &Pool{rng: rng, zone: zone, budget: budget, targets: map[string]*Target{}}
+	return &Pool{rng: rng, zone: zone, budget: budget, targets: map[string]*Target{}, announcements: announcements{}}
 }
 
 // SetFixedBudget sets the daemon's share of the fixed retry allowance.
@@ -114,9 +116,10 @@
 	p.list = p.list[:0]
 	for _, info := range listed {
 		t := p.targets[info.ID]
+		announced := p.announcements.of(now, info)
 		if t == nil || t.Incarnation != info.Incarnation || t.Address != info.Address {
 			p.markGone(t)
-			t = &Target{slowStartUntil: now.Add(info.SlowStartFor)}
+			t = &Target{slowStartUntil: now.Add(info.SlowStartFor), announced: announced}
 		}
 		t.TargetInfo = info
 		t.noReports = p.noReports
@@ -129,6 +132,7 @@
 		}
 	}
 	p.targets = next
+	p.announcements.forgetUnlisted(now)
 	p.updateProbeLimiter(now)
 	p.rebuildGroup()
 	p.assignPermits()
@@ -162,7 +166,7 @@
 	p.resetActions()
 	r.arrived = now
 	p.budget.RecordRequest(now)
-	if len(p.group) == 0 {
+	if !p.hasUntriedTarget(p.targetFilter(now), now, r) {
 		p.refuse(now, r, ReasonNoTarget)
 		return p.actions
 	}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -30,7 +30,7 @@
 )
 
 // probeCandidates probes targets to which queued requests may be sent.
-func (p *Pool) probeCandidates(now time.Time, healthFilter healthFilter) {
+func (p *Pool) probeCandidates(now time.Time, filter targetFilter) {
 	if p.noReports {
 		return
 	}
@@ -38,7 +38,7 @@
 	if wanted <= 0 {
 		return
 	}
-	candidates := p.candidates(now, healthFilter)
+	candidates := p.candidates(now, filter)
 	for _, t := range candidates[:min(wanted, len(candidates))] {
 		p.startProbe(now, t)
 	}
@@ -80,14 +80,14 @@
 }
 
 // candidates returns the targets worth probing, best first.
-func (p *Pool) candidates(now time.Time, healthFilter healthFilter) []*Target {
-	localOnly := !p.anyMayCrossZones(now) && p.hasLocalTarget(now, healthFilter)
+func (p *Pool) candidates(now time.Time, filter targetFilter) []*Target {
+	localOnly := !p.anyMayCrossZones(now) && p.hasLocalTarget(now, filter)
 	var candidates []*Target
 	for _, t := range p.list {
 		if t.Zone != p.zone && localOnly {
 			continue
 		}
-		if healthFilter.allows(now, t) && !t.probing && !t.hasFreshReport(now) && t.ownLoad() < t.requestLimit() && now.Sub(t.probedAt) >= p.probeInterval(now, t) {
+		if filter.allows(now, t) && !t.probing && !t.hasFreshReport(now) && t.ownLoad() < t.requestLimit() && now.Sub(t.probedAt) >= p.probeInterval(now, t) {
 			candidates = append(candidates, t)
 		}
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -138,6 +138,8 @@
 	Answer any
 	// Report is the load report in the response; nil if it has none.
 	Report *Report
+	// Announcement is what the response announces.
+	Announcement Announcement
 	// Quarantined forbids further sends of the request because it crashes targets.
 	Quarantined bool
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -70,6 +70,8 @@
 	otherLoad int
 
 	health outlier.Target
+	// announced is never nil.
+	announced *announced
 
 	// noReports is set if the target does not report its load; speedEstimate is used
 	// instead.
@@ -80,8 +82,15 @@
 	permits int
 }
 
-// isLeaving reports whether the target is draining or gone and gets no new requests.
-func (t *Target) isLeaving() bool { return t.Draining || t.gone }
+// isLeaving reports whether the target is draining or gone or has announced that it is
+// leaving.
+func (t *Target) isLeaving() bool { return t.isDelisted() || t.announced.leaving() }
+
+// isDelisted reports whether the target is draining or gone and gets no new requests.
+func (t *Target) isDelisted() bool { return t.Draining || t.gone }
+
+// Leaving reports whether the target has announced that it is leaving.
+func (t *Target) Leaving() bool { return t.announced.leaving() }
 
 // ownLoad returns the number of this daemon's attempts at the target.
 func (t *Target) ownLoad() int { return len(t.running) }
@@ -175,8 +184,8 @@
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
-	// State is one of in, out, draining and gone. Targets that are out are ejected,
-	// backing off or unhealthy.
+	// State is one of in, out, draining, leaving and gone. Targets that are out are
+	// ejected, backing off or unhealthy; those that are leaving have announced it.
 	State string `json:"state"`
 	// Own is the number of this daemon's requests at the target, Others the estimated
 	// number of the other daemons' requests.
@@ -211,6 +220,8 @@
 		return "gone"
 	case t.Draining:
 		return "draining"
+	case t.announced.leaving():
+		return "leaving"
 	case t.health.Excluded(now):
 		return "out"
 	}
