--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -588,3 +588,20 @@
 	require.Greater(t, probe.Target.Slowness(h.now.Add(2*reportFreshFor)), 3.5)
 	require.InDelta(t, defaultSlowness, probe.Target.Slowness(h.now.Add(10*slownessDecay)), 0.01)
 }
+
+// Guards against retry budget that is spent on hedges which no target can take.
+func TestHedgeWithoutAnotherTargetCostsNoBudget(t *testing.T) {
+	h := newHarness(t, targetInfo("a1", "a"))
+	r := h.request(true)
+	r.SoftDeadline = h.now.Add(2*serviceTime + serviceTime/4)
+	a := h.arriveAndSend(r, normalReport(0))
+	for range 4 {
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.pool.ProbeAnswered(h.now, a.Target, slowReport(1), true)
+	}
+	spent := 0.0
+	for _, slot := range h.pool.budget.spent {
+		spent += slot
+	}
+	require.Zero(t, spent)
+}
