Send nothing to a target within the Retry-After of its refusal

Cause: a refusal with Retry-After was treated as one without. The target was left out for a quarter of a service time, doubled at most a few times, and asked again.

Ruled out: lengthening the back-off of internal/outlier to that time. It is dropped if so many targets back off that the sign isn't credible, and ends with a Target value that an outdated list replaces. Holding requests until the first target resumes: a request that can't be served is refused at once.

Change: the pause is kept beside the announced leaving, by id and incarnation, 10 min at most. A paused target gets no request and no load probe. If all pause, requests, queued ones and retries are refused at once with the reason paused and a Retry-After until the first target resumes.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -124,13 +124,15 @@
 	entry.Warn("attempt failed")
 }
 
-// announcement logs that a target has begun to leave. It must be called before the pool gets
-// the announcement.
+// announcement logs that a target has begun to leave or to pause. It must be called before the
+// pool gets the announcement.
 func (l *eventLog) announcement(now time.Time, s *service, target *placement.Target, announcement placement.Announcement) {
-	if !announcement.Leaving || target.Leaving() || !l.allow() {
-		return
+	if announcement.Leaving && !target.Leaving() && l.allow() {
+		l.ofTarget(now, s, target).Info("target announced that it is leaving")
+	}
+	if announcement.RetryAfter > 0 && !target.Paused(now) && l.allow() {
+		l.ofTarget(now, s, target).WithField("retry_after_ms", announcement.RetryAfter.Milliseconds()).Info("target asked for a pause")
 	}
-	l.ofTarget(now, s, target).Info("target announced that it is leaving")
 }
 
 // ofTarget returns a log entry with the identity of a target.
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -30,6 +30,8 @@
 	MeasuringBudget Name = "measuring_budget"
 	// LeavingGetsNothing: no attempt starts at a target known to be leaving.
 	LeavingGetsNothing Name = "leaving_gets_nothing"
+	// PausedGetsNothing: no attempt starts at a target within the pause that it asked for.
+	PausedGetsNothing Name = "paused_gets_nothing"
 	// RetryBudget: retries and hedges stay within their budgets.
 	RetryBudget Name = "retry_budget"
 	// EjectionBounded: only a bounded share of a group is ejected.
--- a/internal/placement/announcement.go
+++ b/internal/placement/announcement.go
@@ -10,6 +10,8 @@
 	// lastResortPeriod is how long a target that has announced that it is leaving still gets
 	// requests if no other target may get any. It is shorter than the shortest shutdown.
 	lastResortPeriod = time.Second
+	// maxPause limits the time for which a target gets no requests because it asked for that.
+	maxPause = 10 * time.Minute
 	// announcementMemory is how long the announcements of an unlisted target are kept. An
 	// entry may be listed again after an outage.
 	announcementMemory = time.Hour
@@ -19,6 +21,9 @@
 type Announcement struct {
 	// Leaving is set if the target is shutting down.
 	Leaving bool
+	// RetryAfter is the time, from the response on, for which the target wants no requests; 0
+	// if it does not ask for that.
+	RetryAfter time.Duration
 }
 
 // announced holds the announcements of one incarnation of a target. It is shared by the
@@ -27,6 +32,8 @@
 	incarnation int64
 	// leavingSince is when the target first announced that it is leaving; zero if it has not.
 	leavingSince time.Time
+	// pausedUntil is the end of the time for which the target wants no requests.
+	pausedUntil time.Time
 	// listedAt is when the target was last listed.
 	listedAt time.Time
 }
@@ -36,8 +43,14 @@
 	if announcement.Leaving && a.leavingSince.IsZero() {
 		a.leavingSince = now
 	}
+	if until := now.Add(min(announcement.RetryAfter, maxPause)); until.After(a.pausedUntil) {
+		a.pausedUntil = until
+	}
 }
 
+// paused reports whether the target wants no requests now.
+func (a *announced) paused(now time.Time) bool { return now.Before(a.pausedUntil) }
+
 // leaving reports whether the target has announced that it is leaving.
 func (a *announced) leaving() bool { return !a.leavingSince.IsZero() }
 
@@ -87,3 +100,33 @@
 		p.rebuildGroup()
 	}
 }
+
+// pauseLeft returns the time until the first target resumes, and false if a target accepts
+// requests now or none has asked for a pause.
+func (p *Pool) pauseLeft(now time.Time) (time.Duration, bool) {
+	filter := p.targetFilter(now)
+	var first *Target
+	for _, t := range p.list {
+		if filter.accepts(now, t) {
+			return 0, false
+		}
+		if t.isLeaving() || !t.announced.paused(now) {
+			continue
+		}
+		if first == nil || t.announced.pausedUntil.Before(first.announced.pausedUntil) {
+			first = t
+		}
+	}
+	if first == nil {
+		return 0, false
+	}
+	return first.announced.pausedUntil.Sub(now), true
+}
+
+// unavailableReason returns the reason why no target can take a request.
+func (p *Pool) unavailableReason(now time.Time) Reason {
+	if _, paused := p.pauseLeft(now); paused {
+		return ReasonPaused
+	}
+	return ReasonNoTarget
+}
--- a/internal/placement/announcement_test.go
+++ b/internal/placement/announcement_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +15,13 @@
 // is leaving.
 const minDrainTime = 2 * time.Second
 
+// While a target pauses, pauseAllowance requests may reach it later than pauseSlack after its
+// refusal.
+const (
+	pauseSlack     = 500 * time.Millisecond
+	pauseAllowance = 2
+)
+
 var leavingAnnouncement = Announcement{Leaving: true}
 
 // requireSentTo submits a request and fails unless it is sent to the target with the given ID.
@@ -133,6 +142,109 @@
 	require.Equal(t, "failure", h.singleAction(actions, Deliver).Answer)
 }
 
+// Guards against requests to a target within the pause that it asked for, whatever the list
+// says meanwhile, and against a longer one.
+func TestTargetGetsNoRequestsUntilItsPauseEnds(t *testing.T) {
+	const pause = 5 * time.Second
+	for _, outcome := range []Outcome{Failed, NotRun} {
+		h := newHarness(t, targetInfo("a1", "a"))
+		a := h.arriveAndSend(h.request(true), normalReport(0))
+		h.pool.AttemptFinished(h.now, a, Result{Outcome: outcome, Answer: "failure", Announcement: Announcement{RetryAfter: pause}})
+		resumption := h.now.Add(pause)
+		both := []TargetInfo{targetInfo("a1", "a"), targetInfo("a2", "a")}
+		for _, list := range [][]TargetInfo{both, {targetInfo("a2", "a")}, both} {
+			h.pool.UpdateTargets(h.now, list)
+			for range 5 {
+				h.requireSentTo("a2")
+			}
+			h.now = h.now.Add(pause / 5)
+		}
+		require.Equal(t, "paused", h.pool.Targets()[0].State(h.now).State)
+		h.pool.UpdateTargets(h.now, both[:1])
+		refused := h.singleAction(h.pool.Submit(h.now, h.request(true)), Refuse)
+		require.Equal(t, ReasonPaused, refused.Reason)
+		require.GreaterOrEqual(t, refused.RetryAfter, resumption.Sub(h.now))
+		require.Less(t, refused.RetryAfter, resumption.Sub(h.now)+retryAfterJitter)
+		h.now = resumption
+		h.requireSentTo("a1")
+	}
+}
+
+func TestNewIncarnationEndsThePause(t *testing.T) {
+	listed := targetInfo("a1", "a")
+	h := newHarness(t, listed)
+	h.pool.RecordAnnouncement(h.now, h.pool.Targets()[0], Announcement{RetryAfter: time.Minute})
+	listed.Incarnation++
+	h.pool.UpdateTargets(h.now, []TargetInfo{listed})
+	h.requireSentTo("a1")
+}
+
+// Guards against leaving a target out forever because it asked for an absurd time.
+func TestPauseIsBounded(t *testing.T) {
+	h := newHarness(t, targetInfo("a1", "a"))
+	h.pool.RecordAnnouncement(h.now, h.pool.Targets()[0], Announcement{RetryAfter: 24 * time.Hour})
+	h.now = h.now.Add(maxPause)
+	h.requireSentTo("a1")
+}
+
+// Guards against a second refusal that shortens the pause of the first.
+func TestLongestPauseHolds(t *testing.T) {
+	h := newHarness(t, targetInfo("a1", "a"), targetInfo("a2", "a"))
+	for _, pause := range []time.Duration{10 * time.Second, time.Second} {
+		h.pool.RecordAnnouncement(h.now, h.pool.Targets()[0], Announcement{RetryAfter: pause})
+	}
+	h.now = h.now.Add(5 * time.Second)
+	for range 5 {
+		h.requireSentTo("a2")
+	}
+}
+
+// Guards against queued requests and retries that wait for a target that pauses.
+func TestRequestsAreRefusedAtOnceWhileAllTargetsPause(t *testing.T) {
+	h := newHarness(t, targetInfo("a1", "a"), targetInfo("a2", "a"))
+	retried := h.arriveAndSend(h.request(true), normalReport(0))
+	for _, target := range h.pool.Targets() {
+		h.pool.observe(h.now, target, *normalReport(2), 0)
+	}
+	queued := h.request(false)
+	require.Empty(t, actionsOf(h.pool.Submit(h.now, queued), Refuse))
+	first, second := h.pool.Targets()[0], h.pool.Targets()[1]
+	if first == retried.Target {
+		first, second = second, first
+	}
+	require.Empty(t, actionsOf(h.pool.RecordAnnouncement(h.now, first, Announcement{RetryAfter: 2 * time.Second}), Refuse))
+	ended := h.pool.AttemptFinished(h.now, retried, Result{Outcome: NotRun, Announcement: Announcement{RetryAfter: 3 * time.Second}})
+	require.Same(t, second, retried.Target)
+	refused := actionsOf(ended, Refuse)
+	require.Len(t, refused, 2)
+	for _, action := range refused {
+		require.Equal(t, ReasonPaused, action.Reason)
+		require.GreaterOrEqual(t, action.RetryAfter, 2*time.Second)
+		require.Less(t, action.RetryAfter, 2*time.Second+retryAfterJitter)
+	}
+	require.Zero(t, h.pool.Queued())
+}
+
+// Guards against refusing requests that a target which has just begun to leave can serve.
+func TestLeavingTargetIsALastResortWhileTheOthersPause(t *testing.T) {
+	h := newHarness(t, targetInfo("a1", "a"), targetInfo("a2", "a"))
+	h.pool.RecordAnnouncement(h.now, h.pool.Targets()[0], leavingAnnouncement)
+	h.requireSentTo("a2")
+	h.pool.RecordAnnouncement(h.now, h.pool.Targets()[1], Announcement{RetryAfter: time.Minute})
+	h.requireSentTo("a1")
+}
+
+// Guards against probes of a target that pauses, for the sake of its attempts in flight.
+func TestPausedTargetIsNotProbed(t *testing.T) {
+	h := newHarness(t, targetInfo("a1", "a"), targetInfo("a2", "a"))
+	a := h.arriveAndSend(h.request(true), normalReport(0))
+	h.pool.RecordAnnouncement(h.now, a.Target, Announcement{RetryAfter: time.Minute})
+	h.now = h.now.Add(firstCheckDelay(serviceTime))
+	for _, probe := range actionsOf(h.pool.Tick(h.now), Probe) {
+		require.NotSame(t, a.Target, probe.Target)
+	}
+}
+
 // Guards against permits that several daemons hold at once: other daemons may not know what a
 // target has announced to this one.
 func TestPermitsDoNotDependOnAnnouncements(t *testing.T) {
@@ -173,6 +285,15 @@
 	// leavingAt is when the pool first received an announcement of the process that it is
 	// leaving.
 	leavingAt time.Time
+	// refusals are those with a pause, sends the requests that reached the process.
+	refusals []refusal
+	sends    []time.Time
+}
+
+// refusal is a response by which a process asked for a pause.
+type refusal struct {
+	at    time.Time
+	pause time.Duration
 }
 
 // announcementDriver answers the actions of a pool as processes that announce at random.
@@ -181,8 +302,10 @@
 	rng  *rand.Rand
 	pool *Pool
 	now  time.Time
-	// processes are the running ones by target ID. Each has been listed.
+	// processes are the running ones by target ID. Each has been listed. former are their
+	// predecessors.
 	processes map[string]*process
+	former    []*process
 	probes    []*Target
 	attempts  []*Attempt
 	open      map[*Request]bool
@@ -212,6 +335,22 @@
 	}
 	require.Empty(d.t, d.open, "requests were never answered")
 	require.Positive(d.t, d.served)
+	for _, p := range append(d.former, slices.Collect(maps.Values(d.processes))...) {
+		d.checkPauses(p)
+	}
+}
+
+// checkPauses fails if too many requests reached a process in a pause that it asked for.
+func (d *announcementDriver) checkPauses(p *process) {
+	for _, refused := range p.refusals {
+		reached := 0
+		for _, at := range p.sends {
+			if at.After(refused.at.Add(pauseSlack)) && at.Before(refused.at.Add(refused.pause)) {
+				reached++
+			}
+		}
+		require.LessOrEqual(d.t, reached, pauseAllowance, "requests reached paused target %s", p.info.ID)
+	}
 }
 
 func (d *announcementDriver) step() {
@@ -263,6 +402,7 @@
 		return
 	}
 	if d.rng.IntN(8) == 0 {
+		d.former = append(d.former, p)
 		restarted := p.info
 		restarted.Incarnation++
 		d.processes[restarted.ID] = &process{info: restarted}
@@ -306,7 +446,12 @@
 	if outcome == Answered {
 		d.served++
 	}
-	d.perform(d.pool.AttemptFinished(d.now, a, Result{Outcome: outcome, Answer: "x", Announcement: d.announce(p)}))
+	announcement := d.announce(p)
+	if outcome == NotRun && d.rng.IntN(2) == 0 {
+		announcement.RetryAfter = []time.Duration{200, 700, 1500, 3000}[d.rng.IntN(4)] * time.Millisecond
+		p.refusals = append(p.refusals, refusal{at: d.now, pause: announcement.RetryAfter})
+	}
+	d.perform(d.pool.AttemptFinished(d.now, a, Result{Outcome: outcome, Answer: "x", Announcement: announcement}))
 }
 
 // perform carries out actions and checks those that reach a target.
@@ -318,6 +463,8 @@
 			d.probes = append(d.probes, action.Target)
 		case Send:
 			d.checkLeaving(action.Attempt.Target.ID)
+			p := d.processes[action.Attempt.Target.ID]
+			p.sends = append(p.sends, d.now)
 			d.attempts = append(d.attempts, action.Attempt)
 		case Cancel:
 			d.attempts = removeAttempt(d.attempts, action.Attempt)
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -49,7 +49,7 @@
 		if !p.hasUntriedTarget(filter, now, r) {
 			r.queued = false
 			if len(r.inFlight) == 0 {
-				p.fail(now, r, ReasonNoTarget)
+				p.fail(now, r, p.unavailableReason(now))
 			}
 			continue
 		}
@@ -76,6 +76,9 @@
 	if t.isDelisted() || t.announced.leaving() && !t.announced.leavingRecently(now) {
 		invariant.Breached(invariant.LeavingGetsNothing, "request sent to leaving target %s", t.ID)
 	}
+	if t.announced.paused(now) {
+		invariant.Breached(invariant.PausedGetsNothing, "request sent to paused target %s", t.ID)
+	}
 	if !r.Idempotent && (r.mayHaveRun || len(r.inFlight) > 0) {
 		invariant.Breached(invariant.DispatchedOnce, "non-idempotent request that may have run sent to %s", t.ID)
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -20,7 +20,7 @@
 // targetFilter selects the targets that may get new requests.
 type targetFilter struct {
 	// lastResort selects the targets that have recently announced that they are leaving,
-	// because no other target may get requests.
+	// because all others are leaving for longer or paused.
 	lastResort bool
 	health     healthFilter
 }
@@ -29,7 +29,7 @@
 func (p *Pool) targetFilter(now time.Time) targetFilter {
 	filter := targetFilter{lastResort: true}
 	for _, t := range p.list {
-		if !t.isLeaving() {
+		if !t.isLeaving() && !t.announced.paused(now) {
 			filter.lastResort = false
 			break
 		}
@@ -53,7 +53,7 @@
 
 // accepts reports whether a target accepts new requests, whatever its health.
 func (f targetFilter) accepts(now time.Time, t *Target) bool {
-	if t.isDelisted() {
+	if t.isDelisted() || t.announced.paused(now) {
 		return false
 	}
 	if f.lastResort {
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -104,7 +104,7 @@
 	case !now.Add(r.ServiceTime / 2).Before(r.Deadline):
 		return ReasonTimeout, false
 	case !p.hasUntriedTarget(p.targetFilter(now), now, r):
-		return ReasonNoTarget, false
+		return p.unavailableReason(now), false
 	case outcome != NotSent && !p.budget.Take(now):
 		return ReasonRetryBudget, false
 	}
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -72,7 +72,7 @@
 		switch {
 		case p.noReports:
 			p.hedge(now, a)
-		case !a.Target.probing:
+		case !a.Target.probing && !a.Target.announced.paused(now):
 			p.startProbe(now, a.Target)
 		}
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -167,7 +167,7 @@
 	r.arrived = now
 	p.budget.RecordRequest(now)
 	if !p.hasUntriedTarget(p.targetFilter(now), now, r) {
-		p.refuse(now, r, ReasonNoTarget)
+		p.refuse(now, r, p.unavailableReason(now))
 		return p.actions
 	}
 	if len(p.queue) >= maxQueued || p.wouldBeLate(now, r) {
--- a/internal/placement/refuse.go
+++ b/internal/placement/refuse.go
@@ -58,8 +58,12 @@
 }
 
 // retryAfter estimates when a refused caller finds room. The time is short if targets
-// declined the request without being full.
+// declined the request without being full. If all have asked for a pause, it is the time
+// until the first of them resumes.
 func (p *Pool) retryAfter(now time.Time, reason Reason) time.Duration {
+	if left, paused := p.pauseLeft(now); paused {
+		return left + p.jitter(retryAfterJitter)
+	}
 	if reason != ReasonOverload && reason != ReasonNoTarget && p.backlogSince.IsZero() {
 		return shortRetryAfter + p.jitter(shortRetryAfter)
 	}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -89,6 +89,9 @@
 // isDelisted reports whether the target is draining or gone and gets no new requests.
 func (t *Target) isDelisted() bool { return t.Draining || t.gone }
 
+// Paused reports whether the target has asked for a pause that has not ended.
+func (t *Target) Paused(now time.Time) bool { return t.announced.paused(now) }
+
 // Leaving reports whether the target has announced that it is leaving.
 func (t *Target) Leaving() bool { return t.announced.leaving() }
 
@@ -184,9 +187,12 @@
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
-	// State is one of in, out, draining, leaving and gone. Targets that are out are
-	// ejected, backing off or unhealthy; those that are leaving have announced it.
+	// State is one of in, out, paused, draining, leaving and gone. Targets that are out
+	// are ejected, backing off or unhealthy; those that are paused or leaving have
+	// announced it.
 	State string `json:"state"`
+	// PausedMs is the remaining time for which the target wants no requests.
+	PausedMs int64 `json:"paused_ms,omitempty"`
 	// Own is the number of this daemon's requests at the target, Others the estimated
 	// number of the other daemons' requests.
 	Own    int `json:"own"`
@@ -207,6 +213,9 @@
 		Own:     t.ownLoad(),
 		Others:  t.Load(now) - t.ownLoad(),
 	}
+	if t.announced.paused(now) {
+		state.PausedMs = t.announced.pausedUntil.Sub(now).Milliseconds()
+	}
 	if t.hasReport {
 		state.Slowness = t.report.Slowness
 		state.ReportAgeMs = now.Sub(t.reportedAt).Milliseconds()
@@ -222,6 +231,8 @@
 		return "draining"
 	case t.announced.leaving():
 		return "leaving"
+	case t.announced.paused(now):
+		return "paused"
 	case t.health.Excluded(now):
 		return "out"
 	}
