Split the assignment of queued requests

It is now made of sorting the queue, placing one request and tracking the backlog; what it does is the same.

--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -17,14 +17,33 @@
 	recheckInterval = 5 * time.Millisecond
 )
 
-// assign sends queued requests to targets known to have room and starts probes for the
-// rest.
+// assign sends queued requests to targets known to have room, ends those that no target
+// can take, and starts probes for the rest.
 func (p *Pool) assign(now time.Time) {
 	p.recheckAt = time.Time{}
 	if len(p.queue) == 0 {
 		p.backlogSince = time.Time{}
 		return
 	}
+	p.sortQueue(now)
+	filter := p.targetFilter(now)
+	waiting := p.queue[:0]
+	for _, r := range p.queue {
+		if !p.place(now, r, filter) {
+			waiting = append(waiting, r)
+		}
+	}
+	clear(p.queue[len(waiting):])
+	p.queue = waiting
+	p.trackBacklog(now)
+	if len(p.queue) == 0 {
+		return
+	}
+	p.probeCandidates(now, filter)
+	p.recheckAt = now.Add(recheckInterval)
+}
+
+func (p *Pool) sortQueue(now time.Time) {
 	slices.SortStableFunc(p.queue, func(a, b *Request) int {
 		switch {
 		case a.before(b, now):
@@ -34,29 +53,32 @@
 		}
 		return 0
 	})
-	filter := p.targetFilter(now)
-	queued := p.queue[:0]
-	for _, r := range p.queue {
-		if len(r.inFlight) > 0 && !r.inTime(now) {
-			// A hedge would not be answered in time either.
-			r.queued = false
-			continue
-		}
-		if t := p.choose(now, r, filter); t != nil {
-			p.send(now, r, t)
-			continue
-		}
-		if !p.hasUntriedTarget(filter, now, r) {
-			r.queued = false
-			if len(r.inFlight) == 0 {
-				p.fail(now, r, p.unavailableReason(now))
-			}
-			continue
-		}
-		queued = append(queued, r)
+}
+
+// place sends a queued request to a target, or ends its wait because no target can take
+// it. It returns false if the request has to wait.
+func (p *Pool) place(now time.Time, r *Request, filter targetFilter) bool {
+	if len(r.inFlight) > 0 && !r.inTime(now) {
+		// A hedge would not be answered in time either.
+		r.queued = false
+		return true
+	}
+	if t := p.choose(now, r, filter); t != nil {
+		p.send(now, r, t)
+		return true
+	}
+	if p.hasUntriedTarget(filter, now, r) {
+		return false
 	}
-	clear(p.queue[len(queued):])
-	p.queue = queued
+	r.queued = false
+	if len(r.inFlight) == 0 {
+		p.fail(now, r, p.unavailableReason(now))
+	}
+	return true
+}
+
+// trackBacklog records since when requests have waited and whether they compete for room.
+func (p *Pool) trackBacklog(now time.Time) {
 	if len(p.queue) == 0 {
 		p.backlogSince = time.Time{}
 		return
@@ -68,8 +90,6 @@
 	if first := p.queue[0]; first.inTime(now) && now.Sub(first.arrived) > contentionWait {
 		p.contendedAt = now
 	}
-	p.probeCandidates(now, filter)
-	p.recheckAt = now.Add(recheckInterval)
 }
 
 func (p *Pool) send(now time.Time, r *Request, t *Target) {
