Refuse requests without a target in one place

Submit looked for a target that accepts requests before it queued a request, and the assignment that follows looked again. The second look is enough: it refuses the request at once for the same reason.

Run: go vet, staticcheck and tests of internal/placement; passed.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -166,10 +166,6 @@
 	p.resetActions()
 	r.arrived = now
 	p.budget.RecordRequest(now)
-	if !p.hasUntriedTarget(p.targetFilter(now), now, r) {
-		p.refuse(now, r, p.unavailableReason(now))
-		return p.actions
-	}
 	if len(p.queue) >= maxQueued || p.wouldBeLate(now, r) {
 		p.refuse(now, r, ReasonOverload)
 		return p.actions
