Keep announcements for an hour after an entry went missing

Cause: the hour was counted from the last update of the list that had the entry. If the list hadn't changed for an hour, an entry that went missing and returned within a minute came back without its announced leaving.

Change: the hour begins when the entry goes missing.

Before: TestAnnouncementIsKeptSinceTheEntryWentMissing saw a request sent to the leaving target. After: the tests of internal/placement pass.

--- a/internal/placement/announcement_test.go
+++ b/internal/placement/announcement_test.go
@@ -481,3 +481,17 @@
 		require.Less(d.t, d.now.Sub(p.leavingAt), minDrainTime, "request reached leaving target %s", id)
 	}
 }
+
+// Guards against forgetting an announcement because the list had not changed for long.
+func TestAnnouncementIsKeptSinceTheEntryWentMissing(t *testing.T) {
+	both := []TargetInfo{targetInfo("a1", "a"), targetInfo("a2", "a")}
+	h := newHarness(t, both...)
+	h.pool.RecordAnnouncement(h.now, h.pool.Targets()[0], leavingAnnouncement)
+	h.now = h.now.Add(2 * announcementMemory)
+	h.pool.UpdateTargets(h.now, both[1:])
+	h.now = h.now.Add(time.Minute)
+	h.pool.UpdateTargets(h.now, both)
+	for range 5 {
+		h.requireSentTo("a2")
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -129,6 +129,7 @@
 	for id, t := range p.targets {
 		if next[id] == nil {
 			p.markGone(t)
+			t.announced.listedAt = now
 		}
 	}
 	p.targets = next
