--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -67,7 +67,7 @@
 		p.send(now, r, t)
 		return true
 	}
-	if p.hasUntriedTarget(filter, now, r) {
+	if p.hasUntriedTarget(now, r, filter) {
 		return false
 	}
 	r.queued = false
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -103,7 +103,7 @@
 		return ReasonAttemptsUsed, false
 	case !now.Add(r.ServiceTime / 2).Before(r.Deadline):
 		return ReasonTimeout, false
-	case !p.hasUntriedTarget(p.targetFilter(now), now, r):
+	case !p.hasUntriedTarget(now, r, p.targetFilter(now)):
 		return p.unavailableReason(now), false
 	case outcome != NotSent && !p.budget.Take(now):
 		return ReasonRetryBudget, false
@@ -117,7 +117,7 @@
 
 // hasUntriedTarget reports whether a target accepts requests that the request was not sent
 // to yet.
-func (p *Pool) hasUntriedTarget(filter targetFilter, now time.Time, r *Request) bool {
+func (p *Pool) hasUntriedTarget(now time.Time, r *Request, filter targetFilter) bool {
 	for _, t := range p.list {
 		if filter.accepts(now, t) && !r.hasTried(t) {
 			return true
