--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -72,7 +72,7 @@
 		switch {
 		case p.noReports:
 			p.hedge(now, a)
-		case !a.Target.probing:
+		case !a.Target.probing && !a.Target.announced.paused(now):
 			p.startProbe(now, a.Target)
 		}
 	}
@@ -97,10 +97,10 @@
 	}
 }
 
-// hedge queues the request of an attempt for another target if the retry budget allows
-// it.
+// hedge queues the request of an attempt for another target if there is one and the retry
+// budget allows it.
 func (p *Pool) hedge(now time.Time, a *Attempt) {
-	if p.budget.Take(now) {
+	if p.hasUntriedTarget(now, a.Request, p.targetFilter(now)) && p.budget.Take(now) {
 		p.enqueue(a.Request)
 	}
 }
