Time out callers' connections by the monotonic clock

Cause: the time since which a connection waits was kept as Unix nanoseconds and compared with the time of day. After a jump ahead, idle and partly received connections were closed too early; after a jump back they stayed open for as long as the jump was.

startHandler of the tests is split, so that a test can set the clock before the server runs; it does the same as before.

--- a/internal/callerserver/close.go
+++ b/internal/callerserver/close.go
@@ -40,7 +40,7 @@
 // send writes the response of a connection's oldest exchange.
 func (s *Server) send(e *Exchange, response *bytebufferpool.ByteBuffer) {
 	state := e.state
-	state.waitingSince.Store(time.Now().UnixNano())
+	state.waitingSince.Set(s.now())
 	state.phase.Store(phaseFlushing)
 	_, err := e.conn.Write(response.B)
 	bytebufferpool.Put(response)
@@ -82,7 +82,7 @@
 		state.phase.Store(phaseIdle)
 		return s.closeGracefully(conn, state)
 	}
-	state.waitingSince.Store(time.Now().UnixNano())
+	state.waitingSince.Set(s.now())
 	state.phase.Store(phaseIdle)
 	if conn.InboundBuffered() > 0 {
 		return conn.Wake(nil)
@@ -98,7 +98,7 @@
 	state.exchange = next
 	state.pipelined.Store(len(state.queued) > 0)
 	state.phase.Store(phaseServing)
-	state.waitingSince.Store(0)
+	state.waitingSince.Clear()
 	if response := next.serialized; response != nil {
 		next.serialized = nil
 		s.send(next, response)
@@ -127,7 +127,7 @@
 // could destroy a response still in transit.
 func (s *Server) closeGracefully(conn gnet.Conn, state *connState) error {
 	if state.phase.Swap(phaseClosing) != phaseClosing {
-		state.waitingSince.Store(time.Now().UnixNano())
+		state.waitingSince.Set(s.now())
 	}
 	if conn.OutboundBuffered() > 0 {
 		time.AfterFunc(flushPollInterval, func() { _ = conn.Wake(nil) })
--- a/internal/callerserver/events.go
+++ b/internal/callerserver/events.go
@@ -28,7 +28,7 @@
 		conn.SetContext(state)
 		return s.connectionLimitResponse(), gnet.Close
 	}
-	state.waitingSince.Store(time.Now().UnixNano())
+	state.waitingSince.Set(s.now())
 	conn.SetContext(state)
 	s.conns.Store(conn, state)
 	return nil, gnet.None
@@ -69,7 +69,7 @@
 // OnTick implements gnet.EventHandler. It closes connections whose callers exceed a
 // timeout.
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
-	now := time.Now()
+	now := s.now()
 	s.conns.Range(func(key, value any) bool {
 		if s.timedOut(value.(*connState), now) {
 			_ = key.(gnet.Conn).Close()
@@ -81,8 +81,8 @@
 
 // timedOut reports whether a connection has exceeded the timeout of its phase.
 func (s *Server) timedOut(state *connState, now time.Time) bool {
-	since := state.waitingSince.Load()
-	if since == 0 {
+	waiting, ok := state.waitingSince.Elapsed(now)
+	if !ok {
 		return false
 	}
 	limits := s.limits.Load()
@@ -95,5 +95,5 @@
 	case phaseClosing:
 		limit = lingerTimeout
 	}
-	return now.Sub(time.Unix(0, since)) > limit
+	return waiting > limit
 }
--- a/internal/callerserver/requests.go
+++ b/internal/callerserver/requests.go
@@ -1,8 +1,6 @@
 package callerserver
 
 import (
-	"time"
-
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
 )
@@ -108,7 +106,7 @@
 		return gnet.None
 	}
 	if state.phase.Swap(phasePartial) != phasePartial {
-		state.waitingSince.Store(time.Now().UnixNano())
+		state.waitingSince.Set(s.now())
 	}
 	if s.trackBuffered(state, arrived) {
 		return s.reject(conn, state, &ParseError{Status: fasthttp.StatusServiceUnavailable, Reason: "buffers_full"})
@@ -128,7 +126,7 @@
 	}
 	if state.exchange == nil {
 		state.phase.Store(phaseServing)
-		state.waitingSince.Store(0)
+		state.waitingSince.Clear()
 		state.exchange = exchange
 	} else {
 		state.queued = append(state.queued, exchange)
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -82,11 +82,19 @@
 	openConnections atomic.Int64
 	// buffered is the total size of incompletely received requests.
 	buffered atomic.Int64
+	// now reads the clock by which connections time out.
+	now func() time.Time
 }
 
 // New returns a server. It accepts connections once Run or RunSingleLoop is called.
 func New(handler Handler, limits Limits, log logrus.FieldLogger) *Server {
-	s := &Server{handler: handler, log: log, started: make(chan struct{}), loop: make(chan gnet.EventLoop, 1)}
+	s := &Server{
+		handler: handler,
+		log:     log,
+		started: make(chan struct{}),
+		loop:    make(chan gnet.EventLoop, 1),
+		now:     time.Now,
+	}
 	s.SetLimits(limits)
 	return s
 }
--- a/internal/callerserver/server_test.go
+++ b/internal/callerserver/server_test.go
@@ -59,6 +59,13 @@
 func startHandler(t testing.TB, handler Handler, limits Limits) (*Server, string) {
 	t.Helper()
 	server := New(handler, limits, logging.Discard())
+	return server, run(t, server)
+}
+
+// run runs a server on a free address, which it returns. The server stops at the end of the
+// test.
+func run(t testing.TB, server *Server) string {
+	t.Helper()
 	address := freeAddress(t)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Run(address, 1) }()
@@ -72,7 +79,7 @@
 		defer cancel()
 		require.NoError(t, server.Stop(ctx))
 	})
-	return server, address
+	return address
 }
 
 // freeAddress returns an address in a loopback subnet reserved for this test, so that
--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"sync/atomic"
+
+	"github.com/poplarwheel/poplarwheel/internal/monotonic"
 )
 
 // connState is the state of one connection. Except for the atomic fields, it is accessed
@@ -24,9 +26,9 @@
 	requestSize int
 	// pipelined is set while exchanges are queued behind exchange.
 	pipelined atomic.Bool
-	// waitingSince is the time since which the server waits for the caller, in Unix
-	// nanoseconds. It is 0 while a request is served.
-	waitingSince atomic.Int64
+	// waitingSince is the time since which the server waits for the caller. It is unset
+	// while a request is served.
+	waitingSince monotonic.Instant
 	// phase is one of the phase constants.
 	phase atomic.Int32
 }
