Find silent connections to peers by the monotonic clock

The time of the last frame was kept as Unix nanoseconds. After a jump of the time of day by 3 s or more ahead, one call that timed out closed a connection that worked, with all other calls on it; after a jump back, a half-open connection was kept for as long as the jump was beyond the limit of 3 s.

silentFor takes the current time, so that a test can jump. TestHalfOpenConnectionIsReplaced sets the same time by the new type.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -126,7 +126,7 @@
 		_ = netConn.Close()
 		return nil, err
 	}
-	frames.lastRead.Store(time.Now().UnixNano())
+	frames.lastRead.Set(time.Now())
 	rpc := jsonrpc2.NewConn(context.Background(), frames, refuse{}, jsonrpc2.SetLogger(discard{}))
 	return c.keep(address, &clientConn{rpc: rpc, frames: frames}), nil
 }
@@ -159,7 +159,7 @@
 // dropUnusable forgets a connection that is closed, and closes one that has been
 // silent while a call timed out.
 func (c *Client) dropUnusable(ctx context.Context, address string, conn *clientConn) {
-	if ctx.Err() != nil && conn.frames.silentSince(silenceLimit) {
+	if ctx.Err() != nil && conn.frames.silentFor(silenceLimit, time.Now()) {
 		_ = conn.rpc.Close()
 	}
 	c.mu.Lock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/poplarwheel/poplarwheel/internal/monotonic"
 )
 
 const (
@@ -88,8 +90,8 @@
 	conn    net.Conn
 	reader  *bufio.Reader
 	traffic *Traffic
-	// lastRead is when the last frame arrived, in Unix nanoseconds.
-	lastRead atomic.Int64
+	// lastRead is when the last frame arrived.
+	lastRead monotonic.Instant
 
 	readCode  codec
 	writeMu   sync.Mutex
@@ -188,7 +190,7 @@
 	if !authentic {
 		return s.notAuthentic()
 	}
-	s.lastRead.Store(time.Now().UnixNano())
+	s.lastRead.Set(time.Now())
 	s.traffic.messagesReceived.Add(1)
 	s.traffic.bytesReceived.Add(uint64(headerBytes + len(payload)))
 	if err := s.conn.SetReadDeadline(time.Time{}); err != nil {
@@ -197,9 +199,10 @@
 	return json.Unmarshal(payload, object)
 }
 
-// silentSince reports whether no frame has arrived since limit ago.
-func (s *stream) silentSince(limit time.Duration) bool {
-	return time.Since(time.Unix(0, s.lastRead.Load())) > limit
+// silentFor reports whether at now no frame has arrived for longer than limit.
+func (s *stream) silentFor(limit time.Duration, now time.Time) bool {
+	silence, ok := s.lastRead.Elapsed(now)
+	return ok && silence > limit
 }
 
 // Close implements jsonrpc2.ObjectStream.
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -136,7 +136,7 @@
 	}()
 	conn, err := client.dial(context.Background(), silent.Addr().String())
 	require.NoError(t, err)
-	conn.frames.lastRead.Store(time.Now().Add(-2 * silenceLimit).UnixNano())
+	conn.frames.lastRead.Set(time.Now().Add(-2 * silenceLimit))
 	client.mu.Lock()
 	client.conns[address] = conn
 	client.mu.Unlock()
