Refresh the count of suspects when a claim is refused

Coordinator.confirm dropped a refused claim without refreshing suspectCount, which stayed too high until the next change. Claim, which passed a constant true to it and looked up the held claim twice, calls it only with a claim acquired, and so does RecordDeath.

TestRefusedClaimIsNotCounted failed before the change and passes now.

--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -65,9 +65,12 @@
 	}
 }
 
+// isChecked reports whether a target that ran a content is being checked.
+func (c *claims) isChecked(content Content) bool { return c.checks[content] > 0 }
+
 // blocks reports whether a request that holds no claim must not be sent.
 func (c *claims) blocks(now time.Time, content Content) bool {
-	return c.isHeld(now, content) || c.checks[content] > 0
+	return c.isHeld(now, content) || c.isChecked(content)
 }
 
 // size returns the number of contents with a claim or a check.
@@ -116,7 +119,7 @@
 	c.update(func() []RetryDecision {
 		if found := c.tracker.find(now, content); found != nil {
 			suspect = c.tracker.copy(found)
-			claimed = !c.claims.blocks(now, content) && c.claims.acquire(now, content)
+			claimed = !c.claims.isChecked(content) && c.claims.acquire(now, content)
 		}
 		return nil
 	})
@@ -124,7 +127,7 @@
 		resume(false)
 		return
 	}
-	c.peers.Announce(suspect, func(answers Answers) { resume(c.confirm(content, claimed, answers)) })
+	c.peers.Announce(suspect, func(answers Answers) { resume(c.confirm(content, answers)) })
 }
 
 // Release ends a claim.
@@ -137,13 +140,15 @@
 
 // confirm decides whether the holder of a claim may send, by the answers of the other daemons.
 // It releases the claim if not.
-func (c *Coordinator) confirm(content Content, claimed bool, answers Answers) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	granted := claimed && answers.Complete && !answers.Claimed && !c.tracker.Quarantined(time.Now(), content)
-	if claimed && !granted {
-		delete(c.claims.held, content)
-	}
+func (c *Coordinator) confirm(content Content, answers Answers) bool {
+	granted := false
+	c.update(func() []RetryDecision {
+		granted = answers.Complete && !answers.Claimed && !c.tracker.Quarantined(time.Now(), content)
+		if !granted {
+			delete(c.claims.held, content)
+		}
+		return nil
+	})
 	return granted
 }
 
--- a/internal/quarantine/claim_test.go
+++ b/internal/quarantine/claim_test.go
@@ -194,3 +194,14 @@
 	require.Equal(t, Suspected, coordinator.Standing(now, 7))
 	require.True(t, claim())
 }
+
+// A claim that is refused after its content was lifted must not be counted as a suspect.
+func TestRefusedClaimIsNotCounted(t *testing.T) {
+	n := newLateNetwork(1)
+	d := n.daemons[0]
+	d.Merge(n.now, []Suspect{{Content: 7, Deaths: []Death{{Target: "target-1", SentAt: n.now.Add(-time.Second), At: n.now}}}})
+	d.Claim(n.now, 7, func(granted bool) { require.False(t, granted) })
+	d.Lift(7)
+	n.deliver(0)
+	require.False(t, d.HasSuspects())
+}
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -100,7 +100,7 @@
 		return nil
 	})
 	c.peers.Announce(suspect, func(answers Answers) {
-		failed.Resume(c.confirm(failed.Content, claimed, answers))
+		failed.Resume(claimed && c.confirm(failed.Content, answers))
 	})
 }
 
