Bound the lifts in progress in one place

The bounded broadcast of lifts stood alike in daemon and gatewayd. The daemon dropped a lift above it without a word; it now logs the line that the gateway's daemon logs already.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -16,9 +16,6 @@
 	tellLimit = 150 * time.Millisecond
 	// liftLimit bounds the wait for peers when an operator lifts a quarantine.
 	liftLimit = 2 * time.Second
-	// maxLifts bounds the lifts that are being told to peers at once. Above it a lift isn't
-	// told, and the other daemons go on suspecting the content.
-	maxLifts = 32
 	// suspectsRetryDelay is the pause between two attempts to learn the suspects
 	// from a peer.
 	suspectsRetryDelay = 500 * time.Millisecond
@@ -30,8 +27,7 @@
 type quarantinePeers struct {
 	daemon  *Daemon
 	batcher *quarantine.Batcher
-	// lifting holds one element for each lift that is being told.
-	lifting chan struct{}
+	lifter  *quarantine.Lifter
 	store   *quarantineStore
 }
 
@@ -40,8 +36,9 @@
 // startQuarantine sets up what watches for requests that crash targets.
 func (d *Daemon) startQuarantine() {
 	d.quarantineStore = newQuarantineStore(d)
-	peers := &quarantinePeers{daemon: d, lifting: make(chan struct{}, maxLifts), store: d.quarantineStore}
+	peers := &quarantinePeers{daemon: d, store: d.quarantineStore}
 	peers.batcher = quarantine.NewBatcher(peers.tell)
+	peers.lifter = quarantine.NewLifter(peers.tellLift)
 	d.quarantine = quarantine.NewCoordinator(peers)
 	d.proxy.SetQuarantine(d.quarantine)
 	d.peers.Register(peer.MethodSuspect, d.serveSuspect)
@@ -86,15 +83,15 @@
 
 // Lift implements quarantine.Peers.
 func (p *quarantinePeers) Lift(content quarantine.Content) {
-	select {
-	case p.lifting <- struct{}{}:
-	default:
-		return
+	if !p.lifter.Lift(content) {
+		p.daemon.log.WithField("content", uint64(content)).Warn("too many lifts in progress; other daemons not informed")
 	}
-	go func() {
-		p.daemon.broadcast(liftLimit, peer.MethodLift, peer.Lift{Content: content}, nil)
-		<-p.lifting
-	}()
+}
+
+// tellLift tells the other daemons that a content isn't suspected anymore and waits for their
+// answers.
+func (p *quarantinePeers) tellLift(content quarantine.Content) {
+	p.daemon.broadcast(liftLimit, peer.MethodLift, peer.Lift{Content: content}, nil)
 }
 
 func (d *Daemon) serveSuspect(_ context.Context, params json.RawMessage) (any, error) {
--- a/internal/gatewayd/broadcast.go
+++ b/internal/gatewayd/broadcast.go
@@ -19,9 +19,6 @@
 	relayWait = 60 * time.Millisecond
 	// messageTimeout bounds the exchange of one message with another daemon.
 	messageTimeout = time.Second
-	// maxLifts is the maximum number of broadcasts of lifts in progress. Above it a lift isn't
-	// broadcast, and the other daemons go on suspecting the content.
-	maxLifts = 32
 	// relaysPerZone is the number of daemons of each other zone that receive a
 	// broadcast. They relay it to the others there.
 	relaysPerZone = 2
@@ -76,19 +73,9 @@
 	return quarantine.Answers{Complete: b.waiting == 0, Claimed: b.claimed}
 }
 
-// broadcastLift informs the other daemons that a content isn't suspected anymore. It doesn't
-// wait.
+// broadcastLift informs the other daemons that a content isn't suspected anymore.
 func (p *quarantinePeers) broadcastLift(content quarantine.Content) {
-	select {
-	case p.lifting <- struct{}{}:
-	default:
-		p.daemon.log.WithField("content", uint64(content)).Warn("too many lifts in progress; other daemons not informed")
-		return
-	}
-	go func() {
-		p.broadcast(peer.MethodLift, peer.Lift{Content: content}, peer.Lift{Content: content, Relay: true})
-		<-p.lifting
-	}()
+	p.broadcast(peer.MethodLift, peer.Lift{Content: content}, peer.Lift{Content: content, Relay: true})
 }
 
 // broadcast sends a message to other daemons: local to the active daemons of the zone, remote
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -26,8 +26,7 @@
 	daemon  *Daemon
 	client  *peer.Client
 	batcher *quarantine.Batcher
-	// lifting holds one element for each lift that is being broadcast.
-	lifting chan struct{}
+	lifter  *quarantine.Lifter
 
 	mu sync.Mutex
 	// stored are the contents that this daemon has stored on the platform.
@@ -40,8 +39,9 @@
 
 // startQuarantine sets up the quarantine of requests that crash targets.
 func (d *Daemon) startQuarantine(client *peer.Client, server *peer.Server) {
-	peers := &quarantinePeers{daemon: d, client: client, lifting: make(chan struct{}, maxLifts), stored: map[quarantine.Content]bool{}, silentZones: map[string]bool{}}
+	peers := &quarantinePeers{daemon: d, client: client, stored: map[quarantine.Content]bool{}, silentZones: map[string]bool{}}
 	peers.batcher = quarantine.NewBatcher(peers.announce)
+	peers.lifter = quarantine.NewLifter(peers.broadcastLift)
 	d.quarantine = quarantine.NewCoordinator(peers)
 	d.gateway.SetQuarantine(d.quarantine)
 	server.Register(peer.MethodSuspect, peers.serveSuspect)
@@ -102,7 +102,9 @@
 
 // Lift implements quarantine.Peers.
 func (p *quarantinePeers) Lift(content quarantine.Content) {
-	p.broadcastLift(content)
+	if !p.lifter.Lift(content) {
+		p.daemon.log.WithField("content", uint64(content)).Warn("too many lifts in progress; other daemons not informed")
+	}
 	p.mu.Lock()
 	stored := p.stored[content]
 	delete(p.stored, content)
