--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -51,13 +51,23 @@
 
 // loadQuarantined loads the quarantined contents that are stored on the platform.
 func (d *Daemon) loadQuarantined() {
-	for range storeAttempts {
+	retryStore(func() bool {
 		stored, err := d.platform.LoadQuarantined()
-		if err == nil {
-			d.applyQuarantined(stored)
+		if err != nil {
+			d.log.WithError(err).Info("failed to read quarantined contents from the platform; retrying")
+			return false
+		}
+		d.applyQuarantined(stored)
+		return true
+	})
+}
+
+// retryStore calls attempt until it returns true, but at most storeAttempts times.
+func retryStore(attempt func() bool) {
+	for range storeAttempts {
+		if attempt() {
 			return
 		}
-		d.log.WithError(err).Info("failed to read quarantined contents from the platform; retrying")
 		time.Sleep(storeRetryInterval)
 	}
 }
@@ -116,17 +126,16 @@
 
 // store stores a quarantined content on the platform.
 func (p *quarantinePeers) store(suspect quarantine.Suspect) {
-	for range storeAttempts {
-		err := p.daemon.platform.StoreQuarantined(suspect)
-		if err == nil {
-			p.mu.Lock()
-			p.stored[suspect.Content] = true
-			p.mu.Unlock()
-			return
+	retryStore(func() bool {
+		if err := p.daemon.platform.StoreQuarantined(suspect); err != nil {
+			p.daemon.log.WithError(err).WithField("content", uint64(suspect.Content)).Warn("quarantine not kept")
+			return false
 		}
-		p.daemon.log.WithError(err).WithField("content", uint64(suspect.Content)).Warn("quarantine not kept")
-		time.Sleep(storeRetryInterval)
-	}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.stored[suspect.Content] = true
+		return true
+	})
 }
 
 func (p *quarantinePeers) serveSuspect(_ context.Context, params json.RawMessage) (any, error) {
