Wait until a process has stopped in tests that freeze it

The kernel stops the threads later, one by one. Until then the daemon, the home of the key, still takes the forwarded booking and adds its intent to the record. Then it stops, and the other daemon finds an intent whose owner doesn't answer. Unknown (key_owner_gone) is the right answer to that, as TestEntryFrozenWhileTheBookingRuns requires.

Ruled out: internal/idempotency. key_owner_gone comes from OwnerAnswered alone for a send with a recorded key, so the record held an intent of another incarnation, and the frozen daemon was the only other one that had got the booking.

Change: Processes.Signal returns after SIGSTOP once the kernel reports the whole process as stopped (waitid), for all tests that freeze daemons.

--- a/test/fleet/processes.go
+++ b/test/fleet/processes.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -8,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Processes are processes of one binary. It is safe for concurrent use.
@@ -106,13 +109,31 @@
 	}
 }
 
-// Signal sends a signal to a process.
+// Signal sends a signal to a process. With SIGSTOP it returns once every thread of the
+// process has stopped.
 func (p *Processes) Signal(name string, signal syscall.Signal) error {
 	found, err := p.find(name)
 	if err != nil {
 		return err
 	}
-	return found.command.Process.Signal(signal)
+	if err := found.command.Process.Signal(signal); err != nil {
+		return err
+	}
+	if signal == syscall.SIGSTOP {
+		return awaitStopped(found.command.Process.Pid)
+	}
+	return nil
+}
+
+// awaitStopped waits until every thread of a child process has stopped. The kernel stops
+// threads only after the signal was sent, and they can still send and receive until then.
+func awaitStopped(pid int) error {
+	for {
+		err := unix.Waitid(unix.P_PID, pid, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
+		if !errors.Is(err, unix.EINTR) {
+			return err
+		}
+	}
 }
 
 // Kill ends a process at once and waits for it.
