--- a/internal/admin/edit.go
+++ b/internal/admin/edit.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/backoff"
@@ -30,9 +29,7 @@
 type editor struct {
 	directory *directory
 	edit      edit
-	deadline  time.Time
-	pause     backoff.Backoff
-	rng       *rand.Rand
+	retrier   *backoff.Retrier
 	// unsure is set once an answer was lost.
 	unsure bool
 }
@@ -45,9 +42,7 @@
 	editor := &editor{
 		directory: d,
 		edit:      e,
-		deadline:  time.Now().Add(editPatience),
-		pause:     backoff.Backoff{Base: editRetryBase, Max: editRetryMax},
-		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		retrier:   backoff.NewRetrier(backoff.Backoff{Base: editRetryBase, Max: editRetryMax}, editPatience),
 	}
 	for {
 		changed, err := editor.try()
@@ -107,12 +102,7 @@
 	case !errors.As(err, &conflict):
 		return false
 	}
-	pause := e.pause.Next(e.rng)
-	if time.Now().Add(pause).After(e.deadline) {
-		return false
-	}
-	time.Sleep(pause)
-	return true
+	return e.retrier.Pause()
 }
 
 // final returns the error of the whole change.
--- a/internal/rollout/accept.go
+++ b/internal/rollout/accept.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/google/uuid"
@@ -32,23 +31,19 @@
 		return 0, err
 	}
 	a := &acceptor{
-		store:    store,
-		change:   change,
-		deadline: time.Now().Add(acceptPatience),
-		pause:    backoff.Backoff{Base: acceptRetryBase, Max: acceptRetryMax},
-		rng:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		nonce:    config.Hash([]byte(change.ID + uuid.NewString()))[:nonceHexDigits],
+		store:   store,
+		change:  change,
+		retrier: backoff.NewRetrier(backoff.Backoff{Base: acceptRetryBase, Max: acceptRetryMax}, acceptPatience),
+		nonce:   config.Hash([]byte(change.ID + uuid.NewString()))[:nonceHexDigits],
 	}
 	return a.run()
 }
 
 // acceptor carries out one acceptance.
 type acceptor struct {
-	store    platform.Store
-	change   Acceptance
-	deadline time.Time
-	pause    backoff.Backoff
-	rng      *rand.Rand
+	store   platform.Store
+	change  Acceptance
+	retrier *backoff.Retrier
 	// nonce tells the bodies of this try apart from those of another one with the
 	// same ID, which may be under way.
 	nonce   string
@@ -85,15 +80,7 @@
 // error is final.
 func (a *acceptor) retry(err error) bool {
 	var unavailable *platform.UnavailableError
-	if !errors.As(err, &unavailable) {
-		return false
-	}
-	pause := a.pause.Next(a.rng)
-	if time.Now().Add(pause).After(a.deadline) {
-		return false
-	}
-	time.Sleep(pause)
-	return true
+	return errors.As(err, &unavailable) && a.retrier.Pause()
 }
 
 func (a *acceptor) readHead() (Head, platform.Version, error) {
