Notice a restart after the time of day was set back

Cause: heartbeats of a start with an earlier time than the last known one were ignored as late datagrams. A daemon that restarted after its time of day had jumped back behind its last start was ignored until the old start was forgotten, 20 s later (forgetAfter). A jump of 3 s does this only to a daemon that had run for less than 3 s; a larger correction does it to longer runs.

Now such a heartbeat is taken if nothing was heard of the known start for longer than answerTimeout (600 ms). Late datagrams are still ignored: TestDrainingDaemonReturnsOnlyByNewStart is unchanged and passes. TestRestartAfterTimeOfDayWasSetBack failed before and passes now.

internal/membership starts its epochs in the same way and isn't affected: a daemon that hears a higher epoch of itself refutes it.

--- a/internal/heartbeat/membership.go
+++ b/internal/heartbeat/membership.go
@@ -54,8 +54,8 @@
 	CallerAddress string `json:"front"`
 	// PeerAddress is the "ip:port" at which other daemons reach it.
 	PeerAddress string `json:"peer"`
-	// StartedMillis is the start time in Unix milliseconds. It grows with each start, and
-	// so tells the starts of a daemon apart.
+	// StartedMillis is the start time in Unix milliseconds. It tells the starts of a daemon
+	// apart, and grows with each start unless the time of day was set back.
 	StartedMillis int64 `json:"born"`
 	State         State `json:"state"`
 	// Capacity is the number of calls per second that the daemon's VM can handle with
@@ -142,8 +142,14 @@
 	return known
 }
 
-// HandleHeartbeat records a heartbeat, in which a member describes itself.
+// HandleHeartbeat records a heartbeat, in which a member describes itself. If the member's last
+// known start is silent, one with an earlier time is a new start after the time of day was set
+// back, and no late datagram.
 func (m *Membership) HandleHeartbeat(now time.Time, member Member) {
+	if known := m.records[member.Name]; known != nil && member.StartedMillis < known.StartedMillis && known.isSilent(now) {
+		delete(m.records, member.Name)
+		m.ranking = nil
+	}
 	known := m.findOrAdd(now, member)
 	if known == nil {
 		return
@@ -204,6 +210,10 @@
 	return k.unansweredSince.IsZero() || now.Sub(k.unansweredSince) < answerTimeout
 }
 
+// isSilent reports whether nothing was heard of a member for longer than any of its datagrams
+// is under way.
+func (k *record) isSilent(now time.Time) bool { return now.Sub(k.heardAt) > answerTimeout }
+
 // ranked returns the records by rank. The caller must not modify the result.
 func (m *Membership) ranked() []*record {
 	if m.ranking != nil {
--- a/internal/heartbeat/membership_test.go
+++ b/internal/heartbeat/membership_test.go
@@ -69,6 +69,18 @@
 	require.NotEmpty(t, membership.AdvertisedAddresses(start), "a datagram of an earlier start must be ignored")
 }
 
+// A daemon that starts again after its time of day was set back must be advertised soon.
+func TestRestartAfterTimeOfDayWasSetBack(t *testing.T) {
+	membership := NewMembership(member("self", 1, Starting), 3)
+	membership.HandleHeartbeat(start, member("other", 5000, Draining))
+	restarted := member("other", 2000, Ready)
+	membership.HandleHeartbeat(start.Add(100*time.Millisecond), restarted)
+	require.Empty(t, membership.AdvertisedAddresses(start.Add(100*time.Millisecond)), "this may be a late datagram")
+	soon := start.Add(time.Second)
+	membership.HandleHeartbeat(soon, restarted)
+	require.NotEmpty(t, membership.AdvertisedAddresses(soon))
+}
+
 func TestActiveDaemonsArePingedMoreOften(t *testing.T) {
 	membership := NewMembership(member("self", 1, Ready), 1)
 	const others = 30
