Wait for the targets when a fleet starts in tests

Cause: fleet.Start didn't wait until targets accept connections. A test that asked a target soon after the start failed with "connection refused": once in 40 runs of TestRecordIsUsedWhileItsMakerIsFrozen beside three busy loops, when it counted the runs of its key at target 0.

TestTargetsAcceptConnectionsOnceTheFleetHasStarted delays the target by 1 s.

--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -41,6 +43,18 @@
 	return &fleet{Fleet: started, entries: entries, targets: targets}
 }
 
+// A target that takes long to start must not make a test fail that asks it at once.
+func TestTargetsAcceptConnectionsOnceTheFleetHasStarted(t *testing.T) {
+	slow := filepath.Join(t.TempDir(), "slow")
+	script := fmt.Sprintf("#!/bin/sh\n[ \"$2\" = target ] && sleep 1\nexec %q \"$@\"\n", binary)
+	require.NoError(t, os.WriteFile(slow, []byte(script), 0o700))
+	started, err := system.Start(system.Options{Binary: slow, Dir: t.TempDir(), Entries: 1, Targets: 1})
+	require.NoError(t, err)
+	t.Cleanup(started.Close)
+	_, err = started.Journal(0)
+	require.NoError(t, err)
+}
+
 func (f *fleet) answers() *questionnaire.Answers {
 	return &questionnaire.Answers{Team: "swanbrook", Services: []questionnaire.Service{{
 		Name:                 "stock",
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -62,7 +62,8 @@
 	*Processes
 }
 
-// Start starts the processes and registers the VMs with the platform.
+// Start starts the processes and registers the VMs with the platform. The targets accept
+// connections when it returns.
 func Start(options Options) (*Fleet, error) {
 	reserved, err := loopback.Reserve()
 	if err != nil {
@@ -99,6 +100,16 @@
 			return err
 		}
 	}
+	return f.awaitTargets()
+}
+
+// awaitTargets waits until every target accepts connections.
+func (f *Fleet) awaitTargets() error {
+	for i := range f.options.Targets {
+		if err := Await(TargetName(i), func() bool { return listening(f.TargetAddress(i)) }); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
