Show that clocks that differ quarantine a request after one death

If these are 3 s apart, the intervals of one death don't overlap, it counts twice, and the request is quarantined for 10 minutes though it was at one death only.

Not mended here. Sending ages instead of times would shift a death at each exchange by the time of the message, which is longer than many requests, so the echo of a daemon's own death would count again. Deaths need an identity first (who reported it, and a number), and a rule for messages that are sent again.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -292,3 +292,17 @@
 		}
 	}
 }
+
+// Two daemons had copies of a request at a target that died once. If their clocks differ by
+// seconds, the death must not count twice.
+func TestOneDeathCountsOnceWhateverTheClocks(t *testing.T) {
+	for _, difference := range []int{0, 5, 3000, -3000} {
+		first, second := NewTracker(), NewTracker()
+		failed := &FailedRequest{Content: 1, Target: "a", SentAt: after(0)}
+		first.RecordDeath(after(10), failed)
+		failed = &FailedRequest{Content: 1, Target: "a", SentAt: after(difference)}
+		announced := second.RecordDeath(after(difference+10), failed)
+		first.Merge(after(20), []Suspect{announced})
+		require.False(t, first.Quarantined(after(20), 1), "clocks differ by %d ms", difference)
+	}
+}
