--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -2,6 +2,8 @@
 
 import (
 	"sync/atomic"
+
+	"github.com/poplarwheel/poplarwheel/internal/monotonic"
 )
 
 // connState is the state of one connection. Except for the atomic fields, it is accessed
@@ -22,11 +24,13 @@
 	buffered int64
 	// requestSize is the size of the incomplete request, 0 if not yet known.
 	requestSize int
+	// upload is the incomplete request if it is chunked and none before it is unfinished.
+	upload *upload
 	// pipelined is set while exchanges are queued behind exchange.
 	pipelined atomic.Bool
-	// waitingSince is the time since which the server waits for the caller, in Unix
-	// nanoseconds. It is 0 while a request is served.
-	waitingSince atomic.Int64
+	// waitingSince is the time since which the server waits for the caller. It is unset
+	// while a request is served.
+	waitingSince monotonic.Instant
 	// phase is one of the phase constants.
 	phase atomic.Int32
 }
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -26,8 +26,7 @@
 	daemon  *Daemon
 	client  *peer.Client
 	batcher *quarantine.Batcher
-	// lifting holds one element for each lift that is being broadcast.
-	lifting chan struct{}
+	lifter  *quarantine.Lifter
 
 	mu sync.Mutex
 	// stored are the contents that this daemon has stored on the platform.
@@ -40,8 +39,9 @@
 
 // startQuarantine sets up the quarantine of requests that crash targets.
 func (d *Daemon) startQuarantine(client *peer.Client, server *peer.Server) {
-	peers := &quarantinePeers{daemon: d, client: client, lifting: make(chan struct{}, maxLifts), stored: map[quarantine.Content]bool{}, silentZones: map[string]bool{}}
+	peers := &quarantinePeers{daemon: d, client: client, stored: map[quarantine.Content]bool{}, silentZones: map[string]bool{}}
 	peers.batcher = quarantine.NewBatcher(peers.announce)
+	peers.lifter = quarantine.NewLifter(peers.broadcastLift)
 	d.quarantine = quarantine.NewCoordinator(peers)
 	d.gateway.SetQuarantine(d.quarantine)
 	server.Register(peer.MethodSuspect, peers.serveSuspect)
@@ -51,13 +51,23 @@
 
 // loadQuarantined loads the quarantined contents that are stored on the platform.
 func (d *Daemon) loadQuarantined() {
-	for range storeAttempts {
+	retryStore(func() bool {
 		stored, err := d.platform.LoadQuarantined()
-		if err == nil {
-			d.applyQuarantined(stored)
+		if err != nil {
+			d.log.WithError(err).Info("failed to read quarantined contents from the platform; retrying")
+			return false
+		}
+		d.applyQuarantined(stored)
+		return true
+	})
+}
+
+// retryStore calls attempt until it returns true, but at most storeAttempts times.
+func retryStore(attempt func() bool) {
+	for range storeAttempts {
+		if attempt() {
 			return
 		}
-		d.log.WithError(err).Info("failed to read quarantined contents from the platform; retrying")
 		time.Sleep(storeRetryInterval)
 	}
 }
@@ -102,7 +112,9 @@
 
 // Lift implements quarantine.Peers.
 func (p *quarantinePeers) Lift(content quarantine.Content) {
-	p.broadcastLift(content)
+	if !p.lifter.Lift(content) {
+		p.daemon.log.WithField("content", uint64(content)).Warn("too many lifts in progress; other daemons not informed")
+	}
 	p.mu.Lock()
 	stored := p.stored[content]
 	delete(p.stored, content)
@@ -114,17 +126,16 @@
 
 // store stores a quarantined content on the platform.
 func (p *quarantinePeers) store(suspect quarantine.Suspect) {
-	for range storeAttempts {
-		err := p.daemon.platform.StoreQuarantined(suspect)
-		if err == nil {
-			p.mu.Lock()
-			p.stored[suspect.Content] = true
-			p.mu.Unlock()
-			return
+	retryStore(func() bool {
+		if err := p.daemon.platform.StoreQuarantined(suspect); err != nil {
+			p.daemon.log.WithError(err).WithField("content", uint64(suspect.Content)).Warn("quarantine not kept")
+			return false
 		}
-		p.daemon.log.WithError(err).WithField("content", uint64(suspect.Content)).Warn("quarantine not kept")
-		time.Sleep(storeRetryInterval)
-	}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.stored[suspect.Content] = true
+		return true
+	})
 }
 
 func (p *quarantinePeers) serveSuspect(_ context.Context, params json.RawMessage) (any, error) {
