--- a/internal/targetclient/receiver_test.go
+++ b/internal/targetclient/receiver_test.go
@@ -212,3 +212,64 @@
 		}
 	})
 }
+
+// A header that breaks off and is followed by another response on its connection must not be taken
+// for one response with the headers of both.
+func TestTwoHeadersInOneAreMalformed(t *testing.T) {
+	const second = "HTTP/1.1 200 OK\r\nPoplarwheel-Request-Id: a\r\nContent-Length: 5\r\n\r\nhello"
+	for _, first := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nPoplarwheel-Not-Executed: 1\r\nContent-Length: 0\r\nPoplarwheel-Request-Id: b\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nPoplarwheel-Request-Id: a\r\nPoplarwheel-Server-Signature: s\r\nContent-Length: 5\r\n\r\n",
+	} {
+		for cut := len("HTTP/1.1 "); cut < len(first); cut++ {
+			r := newReceiver()
+			response, _, err := receivePieces(r, first[:cut]+second)
+			require.Nil(t, response, "cut at %d: %q", cut, first[:cut])
+			require.ErrorIs(t, err, ErrMalformed, "cut at %d: %q", cut, first[:cut])
+			response, _, err = receivePieces(newReceiver(), first[:cut], second)
+			require.Nil(t, response)
+			require.ErrorIs(t, err, ErrMalformed)
+		}
+	}
+}
+
+// HTTP/1.0 has no chunks: taken as bytes up to the end of the connection, their framing would
+// become part of the body.
+func TestChunksOfHTTP10AreMalformed(t *testing.T) {
+	r := newReceiver()
+	_, _, err := receivePieces(r, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	require.ErrorIs(t, err, ErrMalformed)
+	require.Nil(t, r.finishAtClose())
+}
+
+// fasthttp reports status 0 as 200.
+func TestStatusOutOfRangeIsMalformed(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		r := newReceiver()
+		_, _, err := receivePieces(r, "HTTP/1.1 "+status+" OK\r\nContent-Length: 5\r\n\r\nhello")
+		require.ErrorIs(t, err, ErrMalformed, status)
+	}
+}
+
+// A header ends only with an empty line of CR LF. What a target sent of it before it closed the
+// connection is no response, and lengths that may be truncated or doubtful are none either.
+func TestUnfinishedHeaderIsNoResponse(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nA: b\r\n"
+	for _, message := range []string{
+		"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", header, header + "\r", header + "\n", header + "\n\n", "HTTP/1.1 200 OK\nA: b\n\n",
+		header + "\n\r\n\r\n", header + "Content-Length: 5\n\nhello", header + "Content-Length: 5\r\n\nhello",
+		header + "Content-Len\r\n\r\n", header + "Content-Length\r\n\r\n", header + "Content-Length:\r\n\r\n", header + "Content-Length: 1x\r\n\r\n",
+		header + "Content-Length: +1\r\n\r\nx", header + "Content-Length: -1\r\n\r\n", header + "Content-Length: 1, 1\r\n\r\nx",
+		header + "Content-Length: 1\r\nContent-Length: 12\r\n\r\nx", header + "Transfer-Encoding: chunke\r\n\r\n", header + "Transfer-Encoding:\r\n\r\n",
+		header + "Content-Length: 12\r\n\r\n0123456789a", header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+	} {
+		for cut := range len(message) {
+			r := newReceiver()
+			response, _, err := receivePieces(r, message[:cut], message[cut:])
+			require.Nil(t, response, "%q", message)
+			if err == nil {
+				require.Nil(t, r.finishAtClose(), "%q", message)
+			}
+		}
+	}
+}
