Keep listing and following beside an object that can't be decoded

One object with a byte below 0x20 in a string, a literal that is no JSON or 10,000 levels of nesting made the decoding of the whole response fail: a daemon that was starting listed no targets ("feed lost" again and again) and refused all requests; a running one stopped following, so it kept sending to targets that had left. An object without a readable name at the end of a page ended the list, so the targets of all later pages were unknown. A target whose entry became unreadable was used further, as its change was left out.

Package jsonsplit splits the response into its items without decoding them; each is decoded by itself. A page continues behind its last readable name; without one the list is an error, no longer a part that looks whole. A spec that is no JSON, is nested over 100 levels or, for a target, has over 4 KB is left out, the object stays: its target is used no longer, and messages to daemons that follow this one can be encoded, stay below 2 MB and can be decoded.

Not covered: an item with unbalanced brackets, from which the next one can't be told; the call fails as before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -42,7 +42,8 @@
 // Object is an object of the store.
 type Object struct {
 	Name string
-	// Spec is the content as stored, not decoded.
+	// Spec is the content as stored, not decoded. It is empty if it is no valid JSON or too
+	// large.
 	Spec []byte
 }
 
