Send a request only once over a connection to a target

When two entries name one address, as after it was given to a new target, a request that was refused for the first entry is sent to the address for the second one, on the kept connection and with the same ID. A target that then writes the first refusal once more was believed: the caller of a request that ran was told 503, "not run".

An attempt now knows the one before it, and the pool passes over connections that have carried the request.

Ruled out, by the other tests in latecopies_test.go: refusals 503, 429, 421, 400 and 408, with the ID of the earlier request or without one, repeated once, twice, late, in pieces, behind an interim response, on an idle connection or as the next request is written, and refusals of health checks, also before HEAD. An ID of another request is discarded; a failure without ID is believed only as the first response on a connection, otherwise the outcome is unknown (502).

A refused request costs a new connection only if it goes to the same address.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,8 @@
 		return
 	}
 	a.exchange.Address = targetclient.Address{HostPort: target.Address}
+	a.exchange.Previous = c.lastSent
+	c.lastSent = &a.exchange
 	a.request = fasthttp.AcquireRequest()
 	c.request.Header.CopyTo(&a.request.Header)
 	a.request.SetBodyRaw(c.request.Body())
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
+	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
 const (
@@ -37,6 +38,8 @@
 	done bool
 	// sending is the number of attempts that have not ended.
 	sending int
+	// lastSent is the last attempt, or nil.
+	lastSent *targetclient.Attempt
 	// claim is that of the call's content, if it is suspected of crashing targets.
 	claim quarantine.Holder
 }
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -98,7 +98,7 @@
 		return
 	}
 	p := c.pool(loop, attempt.Address.HostPort)
-	if conn := p.get(); conn != nil {
+	if conn := p.get(attempt); conn != nil {
 		conn.send(e)
 		return
 	}
--- a/internal/targetclient/conn.go
+++ b/internal/targetclient/conn.go
@@ -73,7 +73,7 @@
 		return
 	}
 	defer bytebufferpool.Put(buffer)
-	c.current, e.conn = e, c
+	c.current, e.conn, e.attempt.sentOn = e, c, c
 	c.receiver.reset(e.request.Header.IsHead())
 	c.exchanges++
 	c.discarded = 0
--- a/internal/targetclient/exchange.go
+++ b/internal/targetclient/exchange.go
@@ -21,12 +21,28 @@
 type Attempt struct {
 	// Address must be set before Client.Start is called.
 	Address Address
+	// Previous is the attempt before this one to send the same request, or nil. It must be set
+	// before Client.Start is called. A connection carries a request only once, since a second
+	// copy of the response to an earlier attempt can't be told from that to this one.
+	Previous *Attempt
 
 	mu sync.Mutex
 	// loop is nil until the attempt is started.
 	loop     gnet.EventLoop
 	exchange exchange
 	canceled bool
+	// sentOn is the connection that carried the attempt. It is accessed only on the event loop.
+	sentOn *targetConn
+}
+
+// usedBefore reports whether an earlier attempt to send the same request used a connection.
+func (a *Attempt) usedBefore(conn *targetConn) bool {
+	for earlier := a.Previous; earlier != nil; earlier = earlier.Previous {
+		if earlier.sentOn == conn {
+			return true
+		}
+	}
+	return false
 }
 
 // Cancel cancels the attempt and closes its connection. It may be called at any time, from
--- a/internal/targetclient/pool.go
+++ b/internal/targetclient/pool.go
@@ -1,6 +1,7 @@
 package targetclient
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,14 +71,15 @@
 	return true
 }
 
-// get removes and returns the most recently used idle connection that can be reused, or
-// nil. It closes those that can't.
-func (p *pool) get() *targetConn {
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		conn := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
+// get removes and returns the most recently used idle connection that can be reused for an
+// attempt, or nil. It closes those that can't be reused at all.
+func (p *pool) get(attempt *Attempt) *targetConn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		conn := p.idle[i]
+		if attempt.usedBefore(conn) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if conn.reusable() {
 			return conn
 		}
