End a connection after a response that names no attempt

A target that doesn't return the ID and writes a response once more on the kept connection gave the next caller that of another one, or "not run" for a call that runs.

Such a response is still taken, but its connection isn't used again, so no copy of it can arrive during a later exchange.

Targets that don't return the ID, which the interface asks for, now need a connection for each call; the cost was not measured.

TestRepeatedResponseIsNotTakenUnderDefaultRules/identified_false failed before: the second attempt got the body "1" of the first; with IDs it passed before, too.

--- a/internal/targetclient/conn.go
+++ b/internal/targetclient/conn.go
@@ -37,9 +37,10 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
-	// sawMismatch is set once a response to another request was received. The connection
-	// is then not reused.
-	sawMismatch bool
+	// doubtful is set once a response was received that is to another request or doesn't tell
+	// to which it is. The connection is then not reused, since another copy of that response
+	// may follow.
+	doubtful bool
 	// inTraffic is set during HandleTraffic, which closes the connection by its return value.
 	inTraffic bool
 	// closing is set if HandleTraffic has to close the connection.
@@ -139,19 +140,23 @@
 		c.fail(err)
 		return
 	}
-	c.sawMismatch = true
+	c.doubtful = true
 }
 
 // match returns nil if response is the response to the current request. One that doesn't say so
-// is believed on the first exchange of a connection only: later it may be a second copy of the
-// response to an earlier request.
+// is believed only as the first response on a connection, unless Rules.TrustUnidentified is set:
+// later it may be a second copy of the response to an earlier request.
 func (c *targetConn) match(response *fasthttp.Response) error {
 	err := c.rules().Match(c.current.request, response)
 	var unidentified *UnidentifiedError
-	if errors.As(err, &unidentified) && c.exchanges == 1 && !c.sawMismatch {
-		return nil
+	if !errors.As(err, &unidentified) || c.doubtful {
+		return err
+	}
+	if c.exchanges > 1 && !c.rules().TrustUnidentified {
+		return err
 	}
-	return err
+	c.doubtful = true
+	return nil
 }
 
 // rules returns the client's rules.
@@ -162,7 +167,7 @@
 func (c *targetConn) complete(response *fasthttp.Response) {
 	e := c.current
 	c.current = nil
-	if c.sawMismatch || response.ConnectionClose() || c.conn.OutboundBuffered() > 0 {
+	if c.doubtful || response.ConnectionClose() || c.conn.OutboundBuffered() > 0 {
 		c.close()
 	} else {
 		c.idleTimeout = c.rules().idleTimeout(response)
--- a/internal/targetclient/rules.go
+++ b/internal/targetclient/rules.go
@@ -20,6 +20,9 @@
 	// DiscardMismatched discards a response that doesn't match and keeps waiting for the right
 	// one. Otherwise the attempt fails with a *LostError.
 	DiscardMismatched bool
+	// TrustUnidentified believes a response that doesn't tell to which request it is, also if it
+	// isn't the first on its connection. Such a response ends its connection.
+	TrustUnidentified bool
 	// AllowCloseDelimited accepts responses without a declared length. Such a response is
 	// complete if the target closes the connection without a reset.
 	AllowCloseDelimited bool
@@ -44,7 +47,7 @@
 
 // DefaultRules returns the rules for targets that return poplarwheel's own headers.
 func DefaultRules() Rules {
-	return Rules{Match: matchAttemptID, IdleTimeout: defaultIdleTimeout}
+	return Rules{Match: matchAttemptID, TrustUnidentified: true, IdleTimeout: defaultIdleTimeout}
 }
 
 // idleTimeout returns how long a connection may be idle after a response.
@@ -70,13 +73,15 @@
 	return 0, false
 }
 
-// matchAttemptID compares the attempt IDs. It accepts a response without an ID: targets need
-// not return it.
+// matchAttemptID compares the attempt IDs, which some targets don't return.
 func matchAttemptID(request *fasthttp.Request, response *fasthttp.Response) error {
 	want := request.Header.Peek(wire.HeaderAttemptID)
 	have := response.Header.Peek(wire.HeaderAttemptID)
-	if len(have) == 0 || bytes.Equal(want, have) {
+	switch {
+	case bytes.Equal(want, have):
 		return nil
+	case len(have) == 0:
+		return &UnidentifiedError{Status: response.StatusCode()}
 	}
 	return &MismatchError{Want: string(want), Have: string(have)}
 }
--- a/internal/targetclient/rules_test.go
+++ b/internal/targetclient/rules_test.go
@@ -1,12 +1,18 @@
 package targetclient
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
 const idHeader = "X-Id"
@@ -92,6 +98,83 @@
 	require.ErrorAs(t, err, &lost)
 }
 
+// repeatFirst serves connections on which the first response is written once more before each
+// further one. It returns the address. Responses have the attempt ID if identified is set.
+func repeatFirst(t *testing.T, identified bool) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var requests atomic.Int64
+	respond := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		first := ""
+		for {
+			var request fasthttp.Request
+			if request.Read(reader) != nil {
+				return
+			}
+			header := ""
+			if identified {
+				header = wire.HeaderAttemptID + ": " + string(request.Header.Peek(wire.HeaderAttemptID)) + "\r\n"
+			}
+			number := requests.Add(1)
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: 1\r\n\r\n%d", header, number)
+			_, _ = io.WriteString(conn, first+response)
+			if first == "" {
+				first = response
+			}
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go respond(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// A response, or the statement that the request was not run, must not be taken for that to a later
+// request, whether targets return the attempt ID or not.
+func TestRepeatedResponseIsNotTakenUnderDefaultRules(t *testing.T) {
+	for _, identified := range []bool{true, false} {
+		t.Run(fmt.Sprint("identified ", identified), func(t *testing.T) {
+			address, client, loop := repeatFirst(t, identified), New(), startLoop(t)
+			answered := 0
+			for number := range 5 {
+				request := fasthttp.AcquireRequest()
+				request.SetRequestURI("http://target/")
+				request.Header.Set(wire.HeaderAttemptID, fmt.Sprint("attempt-", number))
+				type result struct {
+					body string
+					err  error
+				}
+				ended := make(chan result, 1)
+				onLoop(loop, func() {
+					attempt := &Attempt{Address: Address{HostPort: address}}
+					client.Start(loop, attempt, time.Now().Add(testTimeout), request, HandlerFunc(func(response *fasthttp.Response, err error) {
+						if err == nil {
+							ended <- result{body: string(response.Body())}
+							return
+						}
+						ended <- result{err: err}
+					}))
+				})
+				if r := <-ended; r.err == nil {
+					require.Equal(t, fmt.Sprint(number+1), r.body)
+					answered++
+				}
+			}
+			require.GreaterOrEqual(t, answered, 3)
+		})
+	}
+}
+
 func TestInvalidResponseIsLost(t *testing.T) {
 	for _, response := range []string{"garbage\r\n\r\n", "HTTP/1.1 2x0 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-Id: mine\r\n\r\ncut"} {
 		_, err := exchangeWith(t, NewWithRules(matchByID()), serve(t, response), "mine")
