--- a/internal/targetclient/receiver.go
+++ b/internal/targetclient/receiver.go
@@ -136,20 +136,6 @@
 	return nil
 }
 
-// parseHeader parses a header, which must fill the whole slice: fasthttp also ends a header at
-// two bare line feeds.
-func parseHeader(response *fasthttp.Response, header []byte) error {
-	reader := headerreader.Acquire(header, len(header))
-	defer reader.Release()
-	if err := response.Header.Read(reader.Buffered); err != nil {
-		return &MalformedError{Cause: err}
-	}
-	if reader.Unread() > 0 {
-		return ErrMalformed
-	}
-	return nil
-}
-
 // readBody completes the response if its body has arrived, and returns the size of the message
 // then, or 0.
 func (r *receiver) readBody(message []byte) (int, error) {
--- a/internal/targetclient/receiver_test.go
+++ b/internal/targetclient/receiver_test.go
@@ -212,3 +212,23 @@
 		}
 	})
 }
+
+// A header that breaks off and is followed by another response on its connection must not be taken
+// for one response with the headers of both.
+func TestTwoHeadersInOneAreMalformed(t *testing.T) {
+	const second = "HTTP/1.1 200 OK\r\nPoplarwheel-Request-Id: a\r\nContent-Length: 5\r\n\r\nhello"
+	for _, first := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nPoplarwheel-Not-Executed: 1\r\nContent-Length: 0\r\nPoplarwheel-Request-Id: b\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nPoplarwheel-Request-Id: a\r\nPoplarwheel-Server-Signature: s\r\nContent-Length: 5\r\n\r\n",
+	} {
+		for cut := len("HTTP/1.1 "); cut < len(first); cut++ {
+			r := newReceiver()
+			response, _, err := receivePieces(r, first[:cut]+second)
+			require.Nil(t, response, "cut at %d: %q", cut, first[:cut])
+			require.ErrorIs(t, err, ErrMalformed, "cut at %d: %q", cut, first[:cut])
+			response, _, err = receivePieces(newReceiver(), first[:cut], second)
+			require.Nil(t, response)
+			require.ErrorIs(t, err, ErrMalformed)
+		}
+	}
+}
