Reject a transfer coding in a response of HTTP/1.0

fasthttp ignores Transfer-Encoding in a response of HTTP/1.0. If it had no length either, it was taken to end with its connection: the caller got the chunks with their framing as the body of a success, however many of them were missing.

Such a response is malformed now. TestChunksOfHTTP10AreMalformed failed before: the response was accepted.

--- a/internal/targetclient/header.go
+++ b/internal/targetclient/header.go
@@ -8,10 +8,15 @@
 	"github.com/poplarwheel/poplarwheel/internal/headerreader"
 )
 
+var (
+	chunkedVersion   = []byte("HTTP/1.1")
+	transferEncoding = []byte("\ntransfer-encoding")
+)
+
 // parseHeader parses a header, which must fill the whole slice: fasthttp also ends a header at
 // two bare line feeds.
 func parseHeader(response *fasthttp.Response, header []byte) error {
-	if hasSecondStatusLine(header) {
+	if hasSecondStatusLine(header) || hasMisplacedEncoding(header) {
 		return ErrMalformed
 	}
 	reader := headerreader.Acquire(header, len(header))
@@ -25,6 +30,12 @@
 	return nil
 }
 
+// hasMisplacedEncoding reports whether the header of another protocol version than HTTP/1.1 has a
+// transfer coding. fasthttp ignores it, so that the chunks would be taken for the body.
+func hasMisplacedEncoding(header []byte) bool {
+	return !bytes.HasPrefix(header, chunkedVersion) && bytes.Contains(bytes.ToLower(header), transferEncoding)
+}
+
 // hasSecondStatusLine reports whether a header contains the start of another one, as if it broke
 // off and another response followed. Its headers would be those of both.
 func hasSecondStatusLine(header []byte) bool {
--- a/internal/targetclient/receiver_test.go
+++ b/internal/targetclient/receiver_test.go
@@ -232,3 +232,12 @@
 		}
 	}
 }
+
+// HTTP/1.0 has no chunks: taken as bytes up to the end of the connection, their framing would
+// become part of the body.
+func TestChunksOfHTTP10AreMalformed(t *testing.T) {
+	r := newReceiver()
+	_, _, err := receivePieces(r, "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+	require.ErrorIs(t, err, ErrMalformed)
+	require.Nil(t, r.finishAtClose())
+}
