--- a/internal/targetclient/receiver_test.go
+++ b/internal/targetclient/receiver_test.go
@@ -241,3 +241,12 @@
 	require.ErrorIs(t, err, ErrMalformed)
 	require.Nil(t, r.finishAtClose())
 }
+
+// fasthttp reports status 0 as 200.
+func TestStatusOutOfRangeIsMalformed(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		r := newReceiver()
+		_, _, err := receivePieces(r, "HTTP/1.1 "+status+" OK\r\nContent-Length: 5\r\n\r\nhello")
+		require.ErrorIs(t, err, ErrMalformed, status)
+	}
+}
