Play a target that stops at any byte of its response

An operator of a similar system saw 200 with an empty or short body after targets had stopped in the middle of a header. Here it can't happen: a response exists only once the empty line behind its header has arrived, and one without a length only if the connection then ends by FIN; a length that doesn't parse is malformed.

TestUnfinishedHeaderIsNoResponse covers bare line feeds, truncated names and values of the length.

Not to be told apart: a header without a length that is complete with its empty line, and FIN: such a response is whole by the protocol.

--- a/internal/targetclient/receiver_test.go
+++ b/internal/targetclient/receiver_test.go
@@ -250,3 +250,26 @@
 		require.ErrorIs(t, err, ErrMalformed, status)
 	}
 }
+
+// A header ends only with an empty line of CR LF. What a target sent of it before it closed the
+// connection is no response, and lengths that may be truncated or doubtful are none either.
+func TestUnfinishedHeaderIsNoResponse(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nA: b\r\n"
+	for _, message := range []string{
+		"HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n", header, header + "\r", header + "\n", header + "\n\n", "HTTP/1.1 200 OK\nA: b\n\n",
+		header + "\n\r\n\r\n", header + "Content-Length: 5\n\nhello", header + "Content-Length: 5\r\n\nhello",
+		header + "Content-Len\r\n\r\n", header + "Content-Length\r\n\r\n", header + "Content-Length:\r\n\r\n", header + "Content-Length: 1x\r\n\r\n",
+		header + "Content-Length: +1\r\n\r\nx", header + "Content-Length: -1\r\n\r\n", header + "Content-Length: 1, 1\r\n\r\nx",
+		header + "Content-Length: 1\r\nContent-Length: 12\r\n\r\nx", header + "Transfer-Encoding: chunke\r\n\r\n", header + "Transfer-Encoding:\r\n\r\n",
+		header + "Content-Length: 12\r\n\r\n0123456789a", header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n",
+	} {
+		for cut := range len(message) {
+			r := newReceiver()
+			response, _, err := receivePieces(r, message[:cut], message[cut:])
+			require.Nil(t, response, "%q", message)
+			if err == nil {
+				require.Nil(t, r.finishAtClose(), "%q", message)
+			}
+		}
+	}
+}
