Forget services that are neither configured nor listed

Each service that an entry of a target ever named kept its pool until the process ended. An entry by another writer that names a different service with each change made the memory of every daemon grow for as long as it ran, about three pools a second at most.

A service is removed once it is neither listed nor configured and has no request waiting; requests in flight keep their pool.

TestServicesOfFormerEntriesAreForgotten failed before: 7 services after five changes of one entry, where 3 were expected. The memory was not measured.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -198,6 +199,21 @@
 		for name, s := range g.services {
 			g.perform(s, s.pool.UpdateTargets(now, listed[name]))
 		}
+		g.forgetServices(listed)
+	})
+}
+
+// forgetServices removes services that are neither listed nor configured. Requests in flight keep
+// theirs until they end.
+func (g *Gateway) forgetServices(listed map[string][]placement.TargetInfo) {
+	kept := map[string]bool{}
+	if g.table != nil {
+		for _, configured := range g.table.Services() {
+			kept[configured.Name] = true
+		}
+	}
+	maps.DeleteFunc(g.services, func(name string, s *service) bool {
+		return listed[name] == nil && !kept[name] && s.pool.Queued() == 0
 	})
 }
 
