Log and export the epoch of the platform's store

The client reads the epoch off every response; a rise is logged, and the dump and a gauge hold it. Logic is as before.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -64,6 +64,12 @@
 	Ping() error
 	// Abort cancels all calls in progress, including watches.
 	Abort()
+	// Epoch returns the number of the store's history, which rises when the store is
+	// restored from an older copy. It is 0 until the store has named one.
+	Epoch() uint64
+	// OnRestored adds a function that is called when a response of any call shows that the
+	// epoch has risen. It must be called before the first call.
+	OnRestored(f func(previous, current uint64))
 }
 
 // ErrHistoryGone means that the store no longer holds the changes after the revision
@@ -137,7 +143,7 @@
 		afterOutage := f.retryDelay.Failures() > 0
 		f.mirror.Reset(objects, afterOutage)
 		if afterOutage {
-			f.log.WithField("kind", f.kind).WithField("revision", revision).Info("feed regained")
+			f.log.WithField("kind", f.kind).WithField("revision", revision).WithField("epoch", f.store.Epoch()).Info("feed regained")
 		}
 		f.retryDelay.Reset()
 		return revision
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -101,6 +101,12 @@
 // Abort implements Store.
 func (s *fakeStore) Abort() {}
 
+// Epoch implements Store.
+func (s *fakeStore) Epoch() uint64 { return 1 }
+
+// OnRestored implements Store.
+func (s *fakeStore) OnRestored(func(previous, current uint64)) {}
+
 // nameMirror is a mirror that holds the names of the objects of the last list.
 type nameMirror struct {
 	mu    sync.Mutex
--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -40,7 +40,9 @@
 // the data that this daemon reads. While they don't, the monitor pings only after a
 // failed call, and watches are short.
 func NewMonitor(store Store, needed func() bool, log logrus.FieldLogger) *Monitor {
-	return &Monitor{store: store, needed: needed, onLost: func() {}, log: log, recovered: make(chan struct{}), pingRequested: make(chan struct{}, 1)}
+	m := &Monitor{store: store, needed: needed, onLost: func() {}, log: log, recovered: make(chan struct{}), pingRequested: make(chan struct{}, 1)}
+	store.OnRestored(m.markRestored)
+	return m
 }
 
 // OnLost sets the function that is called when an outage begins. It must be called
@@ -133,6 +135,11 @@
 	m.recovered = make(chan struct{})
 }
 
+// markRestored records that the store was restored from an older copy.
+func (m *Monitor) markRestored(previous, current uint64) {
+	m.log.WithField("previous_epoch", previous).WithField("epoch", current).Warn("store restored from an older copy")
+}
+
 // waitToRetry waits before a failed call is retried, until the store recovers or the
 // limit has passed. During an outage the limit is maxOutageWait.
 func (m *Monitor) waitToRetry(limit time.Duration) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,6 +176,7 @@
 func (g *Gateway) Apply(table *route.Table, setLimits func(route.Limits)) {
 	g.runOnLoop(func() {
 		if g.table != nil && table.Revision() <= g.table.Revision() {
+			g.log.configurationIgnored(table.Revision(), g.table.Revision())
 			return
 		}
 		g.table = table
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -59,6 +59,13 @@
 	}).Info("configuration in force")
 }
 
+// configurationIgnored logs that a configuration older than the active one was received.
+func (l *eventLog) configurationIgnored(received, active uint64) {
+	if received < active {
+		l.log.WithField("received", received).WithField("revision", active).Info("older configuration ignored")
+	}
+}
+
 // notServed logs a request that the daemon answers itself, without a target's response.
 func (l *eventLog) notServed(c *call, status int, reason placement.Reason) {
 	if !l.allow() {
--- a/internal/gatewayd/admin.go
+++ b/internal/gatewayd/admin.go
@@ -38,6 +38,9 @@
 	InFlight int64 `json:"in_flight"`
 	// PlatformUnavailable is set while the platform is unavailable.
 	PlatformUnavailable bool `json:"platform_away"`
+	// StoreEpoch is the number of the history of the platform's store. It rises when the
+	// store is restored from an older copy.
+	StoreEpoch uint64 `json:"store_epoch"`
 	// AdvertisedAddresses are the advertised entry VMs: those of other zones while no daemon of the local
 	// zone serves.
 	AdvertisedAddresses []string           `json:"named"`
@@ -57,6 +60,7 @@
 		Serving:             d.serving.Load(),
 		InFlight:            d.server.InFlight(),
 		PlatformUnavailable: d.monitor.Unavailable(),
+		StoreEpoch:          d.platform.Feeds().Store.Epoch(),
 		AdvertisedAddresses: d.node.AdvertisedAddresses(),
 		Members:             d.node.Members(),
 		Suspects:            d.quarantine.Suspects(time.Now()),
@@ -111,6 +115,7 @@
 	targetsDesc             = newDesc("targets", "Targets, by service and state.", "service", "state")
 	revisionDesc            = newDesc("revision", "Revision of the configuration in force.")
 	platformUnavailableDesc = newDesc("platform_away", "1 while the platform doesn't answer.")
+	storeEpochDesc          = newDesc("store_epoch", "Number of the history of the platform's store; it rises when the store is restored from an older copy.")
 	violationsDesc          = newDesc("invariant_breaches_total", "Breaches of what must always hold, by invariant.", "invariant")
 	suspectsDesc            = newDesc("suspects", "Contents of requests at which targets died, by state.", "state")
 	advertisedDesc          = newDesc("named", "Entry VMs that callers of the zone are sent to, of other zones if nobody of it serves.")
@@ -119,7 +124,7 @@
 // Describe implements prometheus.Collector.
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, platformUnavailableDesc, advertisedDesc, suspectsDesc, violationsDesc,
+		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc, probesDesc, queuedDesc, targetsDesc, revisionDesc, platformUnavailableDesc, storeEpochDesc, advertisedDesc, suspectsDesc, violationsDesc,
 	} {
 		descriptions <- d
 	}
@@ -156,6 +161,7 @@
 		unavailable = 1
 	}
 	gauge(platformUnavailableDesc, unavailable)
+	gauge(storeEpochDesc, float64(c.daemon.platform.Feeds().Store.Epoch()))
 	c.collectSuspects(gauge)
 	for name, violations := range invariant.Breaches() {
 		counter(violationsDesc, violations, string(name))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,6 +101,12 @@
 // Abort implements feed.Store.
 func (s *Store) Abort() { s.options.Store.Abort() }
 
+// Epoch implements feed.Store.
+func (s *Store) Epoch() uint64 { return s.options.Store.Epoch() }
+
+// OnRestored implements feed.Store.
+func (s *Store) OnRestored(f func(previous, current uint64)) { s.options.Store.OnRestored(f) }
+
 // MarkUnavailable records that the external store doesn't answer. Followers that wait in a
 // watch are told at once.
 func (s *Store) MarkUnavailable() {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -54,6 +54,9 @@
 func (s *fakeStore) Ping() error { return nil }
 func (s *fakeStore) Abort()      {}
 
+func (s *fakeStore) Epoch() uint64                   { return 1 }
+func (s *fakeStore) OnRestored(func(uint64, uint64)) {}
+
 // zone connects the stores of several daemons without a network. It implements Caller.
 type zone map[string]*daemon
 
