Compare the store's revisions within one epoch only

Cause: a store that is restored from an older copy assigns revisions again. Watches continued from a revision of the lost history, replicas ignored lists with a lower revision, and daemons followed sources of another history. Callers got an old configuration for as long as no call failed, and requests went to targets that were leaving until the new history had passed the lost revision.

A position is now an epoch and a revision, in the feed, the replicas and the inner protocol. A watch from a former epoch ends with ErrRestored, and the objects are listed again; a noticed rise aborts watches that wait in the lost history; a late response of a former epoch isn't used; a source of a former epoch isn't followed, one of a later epoch sends its followers to a new list. Targets missing after a restore are kept for 2 s, as after an outage.

Ruled out: waiting for 410, which doesn't come once the revision was assigned again; comparing revisions of lists, which can be higher than the lost one.

--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -19,7 +19,7 @@
 }
 
 // Reset implements Mirror.
-func (m *ConfigMirror) Reset(objects []Object, _ bool) {
+func (m *ConfigMirror) Reset(objects []Object, _ Gap) {
 	for _, object := range objects {
 		if object.Name == m.Name {
 			m.decode(object)
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -54,12 +54,13 @@
 
 // Store is the external store. It is safe for concurrent use.
 type Store interface {
-	// List returns all objects of a kind and the revision of the store that they
-	// reflect. Stale reads cost less, but may lag behind by seconds.
-	List(kind string, stale bool) (objects []Object, revision uint64, err error)
-	// Watch waits up to a duration for changes of a kind after a revision. It returns
-	// them with the revision to continue from. The error may be ErrHistoryGone.
-	Watch(kind string, revision uint64, wait time.Duration, stale bool) (events []Event, next uint64, err error)
+	// List returns all objects of a kind and the position in the store's history that
+	// they reflect. Stale reads cost less, but may lag behind by seconds.
+	List(kind string, stale bool) (objects []Object, at Position, err error)
+	// Watch waits up to a duration for changes of a kind after a position. It returns
+	// them with the position to continue from, which is of the same epoch. The error may
+	// be ErrHistoryGone or ErrRestored.
+	Watch(kind string, after Position, wait time.Duration, stale bool) (events []Event, next Position, err error)
 	// Ping makes the cheapest call of the store. The error is nil if the store responds.
 	Ping() error
 	// Abort cancels all calls in progress, including watches.
@@ -76,11 +77,14 @@
 // that a watch continues from.
 var ErrHistoryGone = Error.New("the store no longer holds the changes after the requested revision")
 
+// ErrRestored means that the store was restored from an older copy since the position that a
+// watch continues from.
+var ErrRestored = Error.New("the store was restored from an older copy after the requested position")
+
 // Mirror is the daemon's copy of the objects of one kind.
 type Mirror interface {
-	// Reset replaces all objects. AfterOutage is set if the list succeeded only after
-	// calls had failed.
-	Reset(objects []Object, afterOutage bool)
+	// Reset replaces all objects. Gap tells what may have happened since the last list.
+	Reset(objects []Object, gap Gap)
 	// Apply applies changes in their order.
 	Apply(events []Event)
 }
@@ -97,6 +101,8 @@
 	retryDelay backoff.Backoff
 	// lastFailureAt is when a call last failed or the history was gone; zero if never.
 	lastFailureAt time.Time
+	// listedAt is the position of the last list; zero before the first one.
+	listedAt Position
 }
 
 // allowStale reports whether stale reads may be used. They may not for a while after a
@@ -122,39 +128,52 @@
 // twice, settleDelay apart: a store that has just closed its watches or dropped its
 // history may omit changes made around that time from later watches.
 func (f *Follower) Run() {
-	revision := f.list()
+	position := f.list()
 	for {
-		f.watch(revision)
+		f.watch(position)
 		f.list()
 		time.Sleep(settleDelay)
-		revision = f.list()
+		position = f.list()
 	}
 }
 
-// list resets the mirror to all objects and returns their revision. It retries until the
+// list resets the mirror to all objects and returns their position. It retries until the
 // store responds.
-func (f *Follower) list() uint64 {
+func (f *Follower) list() Position {
 	for {
-		objects, revision, err := f.store.List(f.kind, false)
+		objects, position, err := f.store.List(f.kind, false)
 		if err != nil {
 			f.retryAfter(err)
 			continue
 		}
-		afterOutage := f.retryDelay.Failures() > 0
-		f.mirror.Reset(objects, afterOutage)
-		if afterOutage {
-			f.log.WithField("kind", f.kind).WithField("revision", revision).WithField("epoch", f.store.Epoch()).Info("feed regained")
+		gap := f.gapBefore(position)
+		f.mirror.Reset(objects, gap)
+		if gap != NoGap {
+			f.log.WithFields(logrus.Fields{"kind": f.kind, "revision": position.Revision, "epoch": position.Epoch}).Info("feed regained")
 		}
 		f.retryDelay.Reset()
-		return revision
+		f.listedAt = position
+		return position
+	}
+}
+
+// gapBefore returns what may have happened between the last list and one at a position.
+func (f *Follower) gapBefore(position Position) Gap {
+	switch {
+	case f.listedAt != Position{} && position.Epoch != f.listedAt.Epoch:
+		return Restore
+	case f.retryDelay.Failures() > 0:
+		return Outage
+	default:
+		return NoGap
 	}
 }
 
-// watch applies changes after a revision until a watch fails.
-func (f *Follower) watch(revision uint64) {
+// watch applies changes after a position until a watch fails.
+func (f *Follower) watch(position Position) {
 	for {
-		events, next, err := f.store.Watch(f.kind, revision, f.monitor.watchTimeout(), f.allowStale())
-		if errors.Is(err, ErrHistoryGone) {
+		events, next, err := f.store.Watch(f.kind, position, f.monitor.watchTimeout(), f.allowStale())
+		if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRestored) {
 			f.lastFailureAt = time.Now()
 			return
 		}
@@ -166,7 +185,7 @@
 			f.mirror.Apply(events)
 			time.Sleep(watchPause)
 		}
-		revision = next
+		position = next
 	}
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -52,27 +52,27 @@
 }
 
 // List implements Store.
-func (s *fakeStore) List(string, bool) ([]Object, uint64, error) {
+func (s *fakeStore) List(string, bool) ([]Object, Position, error) {
 	s.mu.Lock()
 	s.lists++
 	number, objects, revision := s.lists, s.objects, s.revision
 	s.mu.Unlock()
 	s.listed(number)
-	return objects, revision, nil
+	return objects, Position{Epoch: 1, Revision: revision}, nil
 }
 
 // Watch implements Store.
-func (s *fakeStore) Watch(_ string, revision uint64, _ time.Duration, _ bool) ([]Event, uint64, error) {
+func (s *fakeStore) Watch(_ string, after Position, _ time.Duration, _ bool) ([]Event, Position, error) {
 	s.mu.Lock()
 	s.watches++
 	first := s.watches == 1
 	s.mu.Unlock()
 	if first {
 		<-s.cut
-		return nil, 0, errConnectionLost
+		return nil, Position{}, errConnectionLost
 	}
 	<-s.done
-	return nil, revision, nil
+	return nil, after, nil
 }
 
 // Ping implements Store.
@@ -114,7 +114,7 @@
 }
 
 // Reset implements Mirror.
-func (m *nameMirror) Reset(objects []Object, _ bool) {
+func (m *nameMirror) Reset(objects []Object, _ Gap) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.names = nil
--- a/internal/feed/targets.go
+++ b/internal/feed/targets.go
@@ -9,8 +9,8 @@
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
-// reappearanceTime is how long a target that is missing after an outage of the store is
-// kept, so that it can register again.
+// reappearanceTime is how long a target that is missing after an outage or a restore of the
+// store is kept, so that it can register again.
 const reappearanceTime = 2 * time.Second
 
 // listedTarget is a target with the name of its service.
@@ -28,7 +28,7 @@
 
 	mu      sync.Mutex
 	targets map[string]listedTarget
-	// missing holds, for each target that is missing after an outage, when it is removed.
+	// missing holds, for each target that is missing after a gap, when it is removed.
 	missing map[string]time.Time
 }
 
@@ -49,7 +49,7 @@
 }
 
 // Reset implements Mirror.
-func (m *TargetMirror) Reset(objects []Object, afterOutage bool) {
+func (m *TargetMirror) Reset(objects []Object, gap Gap) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	previous, missing := m.targets, m.missing
@@ -61,14 +61,13 @@
 	for name, until := range missing {
 		m.keepUntil(name, previous[name], until)
 	}
-	if afterOutage {
+	if gap != NoGap {
 		m.keepMissing(previous)
 	}
 	m.publish()
 }
 
-// keepMissing keeps for reappearanceTime the targets that are no longer listed after an
-// outage.
+// keepMissing keeps for reappearanceTime the targets that are no longer listed after a gap.
 func (m *TargetMirror) keepMissing(previous map[string]listedTarget) {
 	until := time.Now().Add(reappearanceTime)
 	for name, target := range previous {
--- a/internal/feed/targets_test.go
+++ b/internal/feed/targets_test.go
@@ -34,32 +34,32 @@
 func TestTargetsMissingAfterAnOutageAreKeptForAWhile(t *testing.T) {
 	m, passed := newMirror()
 	object := Object{Name: "i-1", Spec: []byte("stock")}
-	m.Reset([]Object{object}, false)
+	m.Reset([]Object{object}, NoGap)
 	require.Equal(t, 1, <-passed)
-	m.Reset(nil, true)
+	m.Reset(nil, Outage)
 	require.Equal(t, 1, <-passed, "a target that is missing after an outage must be kept at first")
 	require.Equal(t, 0, <-passed, "a target that does not reappear must be removed")
-	m.Reset([]Object{object}, false)
+	m.Reset([]Object{object}, NoGap)
 	require.Equal(t, 1, <-passed)
-	m.Reset(nil, false)
+	m.Reset(nil, NoGap)
 	require.Equal(t, 0, <-passed, "without an outage a missing target must be removed at once")
 }
 
 // A second list while a missing target is kept neither shortens nor extends that time.
 func TestLaterListDoesNotChangeHowLongMissingTargetsAreKept(t *testing.T) {
 	m, passed := newMirror()
-	m.Reset([]Object{{Name: "i-1", Spec: []byte("stock")}, {Name: "i-2", Spec: []byte("stock")}}, false)
+	m.Reset([]Object{{Name: "i-1", Spec: []byte("stock")}, {Name: "i-2", Spec: []byte("stock")}}, NoGap)
 	require.Equal(t, 2, <-passed)
-	m.Reset([]Object{{Name: "i-2", Spec: []byte("stock")}}, true)
+	m.Reset([]Object{{Name: "i-2", Spec: []byte("stock")}}, Outage)
 	require.Equal(t, 2, <-passed)
-	m.Reset(nil, false)
+	m.Reset(nil, NoGap)
 	require.Equal(t, 1, <-passed, "i-2 was listed after the outage and must be removed at once, i-1 must still be kept")
 	require.Equal(t, 0, <-passed)
 }
 
 func TestTargetIsRemovedWhenItsObjectBecomesUnreadable(t *testing.T) {
 	m, passed := newMirror()
-	m.Reset([]Object{{Name: "i-1", Spec: []byte("stock")}, {Name: "i-2", Spec: []byte("stock")}}, false)
+	m.Reset([]Object{{Name: "i-1", Spec: []byte("stock")}, {Name: "i-2", Spec: []byte("stock")}}, NoGap)
 	require.Equal(t, 2, <-passed)
 	m.Apply([]Event{{Object: Object{Name: "i-1"}}})
 	require.Equal(t, 1, <-passed)
--- a/internal/peer/feed.go
+++ b/internal/peer/feed.go
@@ -15,8 +15,9 @@
 // FeedRequest asks for objects of a kind.
 type FeedRequest struct {
 	Kind string `json:"kind"`
-	// After is the revision that the sender has.
+	// After is the revision that the sender has, Epoch the epoch to which it belongs.
 	After uint64 `json:"after,omitempty"`
+	Epoch uint64 `json:"epoch,omitempty"`
 }
 
 // FeedObject is an object of the store.
@@ -27,20 +28,22 @@
 	Deleted bool            `json:"deleted,omitempty"`
 }
 
-// FeedObjects are all objects of a kind at a revision.
+// FeedObjects are all objects of a kind at a revision of an epoch.
 type FeedObjects struct {
 	Objects  []FeedObject `json:"objects"`
 	Revision uint64       `json:"revision"`
+	Epoch    uint64       `json:"epoch,omitempty"`
 	// Unavailable is set if the receiver doesn't follow the store itself, or can't.
 	Unavailable bool `json:"unavailable,omitempty"`
 }
 
-// FeedChanges are the changes of a kind up to a revision.
+// FeedChanges are the changes of a kind up to a revision of the requested epoch.
 type FeedChanges struct {
 	Changes  []FeedObject `json:"changes"`
 	Revision uint64       `json:"revision"`
 	// Unavailable is set if the receiver doesn't follow the store itself, or can't.
 	Unavailable bool `json:"unavailable,omitempty"`
-	// Gone is set if the receiver has forgotten changes after the revision asked for.
+	// Gone is set if the receiver has forgotten changes after the revision asked for, or
+	// follows a later epoch.
 	Gone bool `json:"gone,omitempty"`
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,8 +10,9 @@
 // daemons, too.
 //
 // A replica is passed on only while its owner reads the external store directly, so that two
-// daemons never follow one another. Revisions are those of the external store, so that a
-// follower can change its source at any call.
+// daemons never follow one another. Positions are those of the external store, so that a
+// follower can change its source at any call. A daemon that has seen a later epoch of the
+// external store doesn't follow one that hasn't.
 package relay
 
 import (
@@ -119,32 +120,32 @@
 // external store doesn't answer. If a daemon that prefers to read from others has a replica,
 // it first tries to bring that up to date by their changes. The first list of such a daemon
 // may be stale, since its watches continue from the revision of the list.
-func (s *Store) List(kind string, stale bool) ([]feed.Object, uint64, error) {
+func (s *Store) List(kind string, stale bool) ([]feed.Object, feed.Position, error) {
 	local := s.replicas[kind]
 	if local == nil {
 		return s.options.Store.List(kind, stale)
 	}
 	if s.readsFromPeers(local) {
 		if s.catchUp(kind, local) {
-			objects, revision := local.all()
-			return objects, revision, nil
+			objects, at := local.all()
+			return objects, at, nil
 		}
 		stale = stale || local.empty()
 	}
-	objects, revision, err := s.options.Store.List(kind, stale)
+	objects, at, err := s.options.Store.List(kind, stale)
 	if err == nil {
-		local.reset(objects, revision)
+		local.reset(objects, at)
 		local.setDirect(true)
-		return objects, revision, nil
+		return objects, at, nil
 	}
 	local.setDirect(false)
 	for _, source := range s.options.Sources() {
-		if objects, revision, sourceErr := s.listFrom(source, kind); sourceErr == nil {
-			local.reset(objects, revision)
-			return objects, revision, nil
+		if objects, at, sourceErr := s.listFrom(source, kind, local); sourceErr == nil {
+			local.reset(objects, at)
+			return objects, at, nil
 		}
 	}
-	return nil, 0, err
+	return nil, feed.Position{}, err
 }
 
 // readsFromPeers reports whether this daemon prefers to read the kind of a replica from
@@ -154,15 +155,15 @@
 }
 
 // catchUp brings a replica up to date by changes that other daemons have. It returns false if
-// the replica is empty or they don't have the changes. It retries, since after an outage the
-// other daemons first have to list the objects themselves.
+// the replica is empty or of a former epoch, or they don't have the changes. It retries, since
+// after an outage the other daemons first have to list the objects themselves.
 func (s *Store) catchUp(kind string, local *replica) bool {
-	if local.empty() {
-		return false
-	}
 	for range catchUpAttempts {
-		_, revision := local.all()
-		if events, next, err := s.watchPeers(kind, revision); err == nil {
+		_, at := local.all()
+		if local.empty() || at.Epoch < s.Epoch() {
+			return false
+		}
+		if events, next, err := s.watchPeers(kind, at); err == nil {
 			local.apply(events, next)
 			return true
 		}
@@ -175,55 +176,57 @@
 }
 
 // watchPeers watches a kind at the first daemon that can be followed.
-func (s *Store) watchPeers(kind string, revision uint64) ([]feed.Event, uint64, error) {
+func (s *Store) watchPeers(kind string, after feed.Position) ([]feed.Event, feed.Position, error) {
 	err := ErrUnavailable
 	for _, source := range s.options.Sources() {
 		var events []feed.Event
-		var next uint64
-		if events, next, err = s.watchFrom(source, kind, revision); err == nil {
+		var next feed.Position
+		if events, next, err = s.watchFrom(source, kind, after); err == nil {
 			return events, next, nil
 		}
 	}
-	return nil, 0, err
+	return nil, feed.Position{}, err
 }
 
-// listFrom lists a kind at the daemon with peer address source.
-func (s *Store) listFrom(source, kind string) ([]feed.Object, uint64, error) {
+// listFrom lists a kind at the daemon with peer address source. A list that is older than the
+// local replica, or of a former epoch of the external store, isn't used.
+func (s *Store) listFrom(source, kind string, local *replica) ([]feed.Object, feed.Position, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
 	var response peer.FeedObjects
 	if err := s.options.Caller.Call(ctx, source, peer.MethodFeedList, peer.FeedRequest{Kind: kind}, &response); err != nil {
-		return nil, 0, err
+		return nil, feed.Position{}, err
 	}
-	if response.Unavailable {
-		return nil, 0, ErrUnavailable
+	at := feed.Position{Epoch: response.Epoch, Revision: response.Revision}
+	if response.Unavailable || at.Epoch < s.Epoch() || local.isAfter(at) {
+		return nil, feed.Position{}, ErrUnavailable
 	}
 	var objects []feed.Object
 	for _, object := range response.Objects {
 		objects = append(objects, feed.Object{Name: object.Name, Spec: object.Spec})
 	}
-	return objects, response.Revision, nil
+	return objects, at, nil
 }
 
 // Watch implements feed.Store. A daemon that prefers to read from others, or for which the
 // external store is unavailable, watches at other daemons first. If that fails, for example
 // because they no longer have changes that are as old, it watches at the external store.
-func (s *Store) Watch(kind string, revision uint64, wait time.Duration, stale bool) ([]feed.Event, uint64, error) {
+func (s *Store) Watch(kind string, after feed.Position, wait time.Duration, stale bool) ([]feed.Event, feed.Position, error) {
 	local := s.replicas[kind]
 	if local == nil {
-		return s.options.Store.Watch(kind, revision, wait, stale)
+		return s.options.Store.Watch(kind, after, wait, stale)
 	}
 	if s.options.StoreUnavailable() || s.readsFromPeers(local) {
 		local.setDirect(false)
-		if events, next, err := s.watchPeers(kind, revision); err == nil {
+		if events, next, err := s.watchPeers(kind, after); err == nil {
 			local.apply(events, next)
 			return events, next, nil
 		}
 	}
-	events, next, err := s.options.Store.Watch(kind, revision, wait, stale)
+	events, next, err := s.options.Store.Watch(kind, after, wait, stale)
 	if err != nil {
 		local.setDirect(false)
-		return nil, 0, err
+		return nil, feed.Position{}, err
 	}
 	local.apply(events, next)
 	local.setDirect(true)
@@ -231,24 +234,24 @@
 }
 
 // watchFrom watches a kind at the daemon with peer address source.
-func (s *Store) watchFrom(source, kind string, revision uint64) ([]feed.Event, uint64, error) {
+func (s *Store) watchFrom(source, kind string, after feed.Position) ([]feed.Event, feed.Position, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), watchWait+watchMargin)
 	defer cancel()
-	request := peer.FeedRequest{Kind: kind, After: revision}
+	request := peer.FeedRequest{Kind: kind, After: after.Revision, Epoch: after.Epoch}
 	var response peer.FeedChanges
 	if err := s.options.Caller.Call(ctx, source, peer.MethodFeedWatch, request, &response); err != nil {
-		return nil, 0, err
+		return nil, feed.Position{}, err
 	}
 	switch {
 	case response.Unavailable:
-		return nil, 0, ErrUnavailable
+		return nil, feed.Position{}, ErrUnavailable
 	case response.Gone:
-		return nil, 0, feed.ErrHistoryGone
+		return nil, feed.Position{}, feed.ErrHistoryGone
 	}
 	var events []feed.Event
 	for _, changed := range response.Changes {
 		object := feed.Object{Name: changed.Name, Spec: changed.Spec}
 		events = append(events, feed.Event{Object: object, Deleted: changed.Deleted})
 	}
-	return events, max(response.Revision, revision), nil
+	return events, feed.Position{Epoch: after.Epoch, Revision: max(response.Revision, after.Revision)}, nil
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,39 +24,51 @@
 	objects  []feed.Object
 	events   []feed.Event
 	revision uint64
+	epoch    uint64
 	down     bool
 	calls    int
 	// stale is the argument of the last List.
 	stale bool
 }
 
-func (s *fakeStore) List(_ string, stale bool) ([]feed.Object, uint64, error) {
+func (s *fakeStore) List(_ string, stale bool) ([]feed.Object, feed.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	s.stale = stale
 	if s.down {
-		return nil, 0, errDown
+		return nil, feed.Position{}, errDown
 	}
-	return s.objects, s.revision, nil
+	return s.objects, feed.Position{Epoch: s.epoch, Revision: s.revision}, nil
 }
 
-func (s *fakeStore) Watch(string, uint64, time.Duration, bool) ([]feed.Event, uint64, error) {
+func (s *fakeStore) Watch(_ string, after feed.Position, _ time.Duration, _ bool) ([]feed.Event, feed.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return nil, 0, errDown
+		return nil, feed.Position{}, errDown
 	}
-	return s.events, s.revision, nil
+	if after.Epoch != s.epoch {
+		return nil, feed.Position{}, feed.ErrRestored
+	}
+	return s.events, feed.Position{Epoch: s.epoch, Revision: s.revision}, nil
 }
 
 func (s *fakeStore) Ping() error { return nil }
 func (s *fakeStore) Abort()      {}
 
-func (s *fakeStore) Epoch() uint64                   { return 1 }
 func (s *fakeStore) OnRestored(func(uint64, uint64)) {}
 
+func (s *fakeStore) Epoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
+// at returns a position in the first epoch.
+func at(revision uint64) feed.Position { return feed.Position{Epoch: 1, Revision: revision} }
+
 // zone connects the stores of several daemons without a network. It implements Caller.
 type zone map[string]*daemon
 
@@ -91,7 +103,7 @@
 
 // add adds a daemon that follows the given sources, best first.
 func (z zone) add(name string, preferPeers bool, sources ...string) *daemon {
-	d := &daemon{external: &fakeStore{revision: 1}, sources: sources}
+	d := &daemon{external: &fakeStore{revision: 1, epoch: 1}, sources: sources}
 	d.store = New(Options{
 		Store:            d.external,
 		Caller:           z,
@@ -106,12 +118,12 @@
 
 func object(name, spec string) feed.Object { return feed.Object{Name: name, Spec: []byte(spec)} }
 
-// list lists at a daemon, requires success and returns the revision.
-func (d *daemon) list(t *testing.T) uint64 {
+// list lists at a daemon, requires success and returns the position.
+func (d *daemon) list(t *testing.T) feed.Position {
 	t.Helper()
-	_, revision, err := d.store.List(kind, false)
+	_, position, err := d.store.List(kind, false)
 	require.NoError(t, err)
-	return revision
+	return position
 }
 
 func TestFollowersGetChangesWithoutExternalStore(t *testing.T) {
@@ -127,11 +139,11 @@
 
 	reader.external.events = []feed.Event{{Object: object("b", `2`)}, {Object: object("a", `1`), Deleted: true}}
 	reader.external.revision = 3
-	_, _, err := reader.store.Watch(kind, 1, time.Second, true)
+	_, _, err := reader.store.Watch(kind, at(1), time.Second, true)
 	require.NoError(t, err)
 	events, next, err := follower.store.Watch(kind, revision, time.Second, true)
 	require.NoError(t, err)
-	require.Equal(t, uint64(3), next)
+	require.Equal(t, at(3), next)
 	require.Len(t, events, 2)
 	require.Equal(t, object("b", `2`), events[0].Object)
 	require.True(t, events[1].Deleted)
@@ -141,17 +153,17 @@
 // A change, or the loss of the external store, ends a follower's watch at once.
 func TestWaitingWatchIsWoken(t *testing.T) {
 	r := newReplica(false)
-	r.reset(nil, 5)
+	r.reset(nil, at(5))
 	r.setDirect(true)
 	result := make(chan watchResult)
-	go func() { result <- r.watch(5, time.Hour) }()
-	r.apply([]feed.Event{{Object: object("a", `1`)}}, 6)
-	require.Equal(t, watchResult{events: []feed.Event{{Object: object("a", `1`)}}, revision: 6}, <-result)
+	go func() { result <- r.watch(at(5), time.Hour) }()
+	r.apply([]feed.Event{{Object: object("a", `1`)}}, at(6))
+	require.Equal(t, watchResult{events: []feed.Event{{Object: object("a", `1`)}}, at: at(6)}, <-result)
 
-	go func() { result <- r.watch(6, time.Hour) }()
+	go func() { result <- r.watch(at(6), time.Hour) }()
 	r.setDirect(false)
 	require.True(t, (<-result).unavailable, "the watch must end when the external store is lost")
-	require.Equal(t, watchResult{unavailable: true}, r.watch(6, 0))
+	require.Equal(t, watchResult{unavailable: true}, r.watch(at(6), 0))
 }
 
 // Two daemons that can't reach the external store must not serve one another old replicas.
@@ -165,7 +177,7 @@
 		d.external.down, d.away = true, true
 	}
 	for _, d := range []*daemon{a, b} {
-		_, _, err := d.store.Watch(kind, 1, time.Second, true)
+		_, _, err := d.store.Watch(kind, at(1), time.Second, true)
 		require.ErrorIs(t, err, errDown)
 		_, _, err = d.store.List(kind, false)
 		require.ErrorIs(t, err, errDown)
@@ -184,13 +196,13 @@
 	}
 	reader.external.revision = 2
 	reader.external.events = []feed.Event{{Object: object("a", `1`)}}
-	_, _, err := reader.store.Watch(kind, 1, time.Second, true)
+	_, _, err := reader.store.Watch(kind, at(1), time.Second, true)
 	require.NoError(t, err)
-	_, next, err := middle.store.Watch(kind, 1, time.Second, true)
+	_, next, err := middle.store.Watch(kind, at(1), time.Second, true)
 	require.NoError(t, err)
-	require.Equal(t, uint64(2), next)
+	require.Equal(t, at(2), next)
 	calls := last.external.calls
-	_, _, err = last.store.Watch(kind, 1, time.Second, true)
+	_, _, err = last.store.Watch(kind, at(1), time.Second, true)
 	require.NoError(t, err)
 	require.Equal(t, calls+1, last.external.calls, "it must read the external store instead")
 
@@ -198,11 +210,11 @@
 	// those included that it got as a follower.
 	middle.direct = true
 	middle.external.revision = 3
-	_, _, err = middle.store.Watch(kind, 2, time.Second, true)
+	_, _, err = middle.store.Watch(kind, at(2), time.Second, true)
 	require.NoError(t, err)
-	events, next, err := last.store.Watch(kind, 1, time.Second, true)
+	events, next, err := last.store.Watch(kind, at(1), time.Second, true)
 	require.NoError(t, err)
-	require.Equal(t, uint64(3), next)
+	require.Equal(t, at(3), next)
 	require.Len(t, events, 1)
 }
 
@@ -216,23 +228,23 @@
 	reader.external.revision = 7
 	reader.list(t)
 	rejected.list(t)
-	_, _, err := rejected.store.Watch(kind, 1, time.Second, true)
+	_, _, err := rejected.store.Watch(kind, at(1), time.Second, true)
 	require.NoError(t, err)
 	require.Equal(t, 2, rejected.external.calls)
 
 	rejected.external.down, rejected.away = true, true
-	require.Equal(t, uint64(7), rejected.list(t))
+	require.Equal(t, at(7), rejected.list(t))
 	reader.external.revision = 8
 	reader.external.events = []feed.Event{{Object: object("a", `2`)}}
-	_, _, err = reader.store.Watch(kind, 7, time.Second, true)
+	_, _, err = reader.store.Watch(kind, at(7), time.Second, true)
 	require.NoError(t, err)
-	events, next, err := rejected.store.Watch(kind, 7, time.Second, true)
+	events, next, err := rejected.store.Watch(kind, at(7), time.Second, true)
 	require.NoError(t, err)
-	require.Equal(t, uint64(8), next)
+	require.Equal(t, at(8), next)
 	require.Equal(t, object("a", `2`), events[0].Object)
 
 	reader.away = true
-	_, _, err = rejected.store.Watch(kind, 8, time.Second, true)
+	_, _, err = rejected.store.Watch(kind, at(8), time.Second, true)
 	require.ErrorIs(t, err, errDown, "a source must not be followed while the external store is unavailable to it")
 }
 
@@ -249,15 +261,15 @@
 	follower.external.events = []feed.Event{{Object: object("a", `1`)}}
 	events, next, err := follower.store.Watch(kind, revision, time.Second, true)
 	require.NoError(t, err)
-	require.Equal(t, uint64(6), next)
+	require.Equal(t, at(6), next)
 	require.Len(t, events, 1)
 	calls := follower.external.calls
 	reader.external.revision = 7
-	_, _, err = reader.store.Watch(kind, 5, time.Second, true)
+	_, _, err = reader.store.Watch(kind, at(5), time.Second, true)
 	require.NoError(t, err)
 	_, next, err = follower.store.Watch(kind, next, time.Second, true)
 	require.NoError(t, err)
-	require.Equal(t, uint64(7), next)
+	require.Equal(t, at(7), next)
 	require.Equal(t, calls, follower.external.calls, "it must follow its source from then on")
 }
 
@@ -281,7 +293,7 @@
 	calls := follower.external.calls
 	objects, revision, err := follower.store.List(kind, false)
 	require.NoError(t, err)
-	require.Equal(t, uint64(9), revision)
+	require.Equal(t, at(9), revision)
 	require.ElementsMatch(t, reader.external.objects, objects)
 	require.Equal(t, calls, follower.external.calls)
 
@@ -298,7 +310,7 @@
 	reader := z.add("reader", true)
 	reader.list(t)
 	result := make(chan watchResult)
-	go func() { result <- reader.store.replicas[kind].watch(1, time.Hour) }()
+	go func() { result <- reader.store.replicas[kind].watch(at(1), time.Hour) }()
 	reader.store.MarkUnavailable()
 	require.True(t, (<-result).unavailable)
 }
@@ -307,33 +319,33 @@
 // get the differences as changes.
 func TestListIsPassedOnAsChanges(t *testing.T) {
 	r := newReplica(false)
-	r.reset([]feed.Object{object("a", `1`), object("b", `1`), object("c", `1`)}, 5)
-	r.reset([]feed.Object{object("a", `1`), object("b", `2`), object("d", `1`)}, 9)
+	r.reset([]feed.Object{object("a", `1`), object("b", `1`), object("c", `1`)}, at(5))
+	r.reset([]feed.Object{object("a", `1`), object("b", `2`), object("d", `1`)}, at(9))
 	r.setDirect(true)
-	result := r.watch(5, 0)
+	result := r.watch(at(5), 0)
 	require.False(t, result.gone)
-	require.Equal(t, uint64(9), result.revision)
+	require.Equal(t, at(9), result.at)
 	require.ElementsMatch(t, []feed.Event{
 		{Object: object("b", `2`)}, {Object: object("d", `1`)}, {Object: object("c", `1`), Deleted: true},
 	}, result.events)
-	require.True(t, r.watch(4, 0).gone, "changes before the first list must be gone")
+	require.True(t, r.watch(at(4), 0).gone, "changes before the first list must be gone")
 
-	r.reset([]feed.Object{object("old", `1`)}, 8)
+	r.reset([]feed.Object{object("old", `1`)}, at(8))
 	_, revision, _ := r.list()
-	require.Equal(t, uint64(9), revision, "an older list must be ignored")
+	require.Equal(t, at(9), revision, "an older list must be ignored")
 }
 
 // A replica keeps at most maxChanges changes. A follower that is further behind gets gone and
 // has to list again.
 func TestOldChangesAreDroppedAboveTheBound(t *testing.T) {
 	r := newReplica(false)
-	r.reset(nil, 1)
+	r.reset(nil, at(1))
 	r.setDirect(true)
 	for i := range maxChanges + 10 {
-		r.apply([]feed.Event{{Object: object("a", `1`)}}, uint64(i+2))
+		r.apply([]feed.Event{{Object: object("a", `1`)}}, at(uint64(i+2)))
 	}
-	require.True(t, r.watch(5, 0).gone)
-	result := r.watch(11, 0)
+	require.True(t, r.watch(at(5), 0).gone)
+	result := r.watch(at(11), 0)
 	require.False(t, result.gone)
 	require.Len(t, result.events, maxChanges)
 }
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -27,12 +27,14 @@
 
 	mu      sync.Mutex
 	objects map[string]feed.Object
-	// revision is that of objects. The replica has all changes after revision oldest.
-	revision, oldest uint64
-	changes          []change
+	// at is the position of objects. The replica has all changes of the same epoch after
+	// revision oldest.
+	at      feed.Position
+	oldest  uint64
+	changes []change
 	// direct is set while the replica is kept up to date from the external store itself.
 	direct bool
-	// updated is closed and replaced when revision or direct changes.
+	// updated is closed and replaced when at or direct changes.
 	updated chan struct{}
 }
 
@@ -42,45 +44,48 @@
 
 // reset replaces all objects by those of a list. Differences are recorded as changes at the
 // revision of the list, so that followers needn't list again. A list that is older than the
-// replica is ignored.
-func (r *replica) reset(objects []feed.Object, revision uint64) {
+// replica is ignored. A list of a new epoch begins a new history: followers have to list, too.
+func (r *replica) reset(objects []feed.Object, at feed.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision < r.revision {
+	if at.Before(r.at) {
 		return
 	}
-	first := r.revision == 0
+	first := r.at.Revision == 0 || r.at.Epoch != at.Epoch
 	previous := r.objects
 	r.objects = make(map[string]feed.Object, len(objects))
 	for _, object := range objects {
 		r.objects[object.Name] = object
 		if known, ok := previous[object.Name]; !ok || !bytes.Equal(known.Spec, object.Spec) {
-			r.recordChange(revision, feed.Event{Object: object})
+			r.recordChange(at.Revision, feed.Event{Object: object})
 		}
 		delete(previous, object.Name)
 	}
 	for _, object := range previous {
-		r.recordChange(revision, feed.Event{Object: object, Deleted: true})
+		r.recordChange(at.Revision, feed.Event{Object: object, Deleted: true})
 	}
 	if first {
-		r.changes, r.oldest = nil, revision
+		r.changes, r.oldest = nil, at.Revision
 	}
-	r.advance(revision)
+	r.advance(at)
 }
 
-// apply applies changes up to a revision.
-func (r *replica) apply(events []feed.Event, revision uint64) {
+// apply applies changes up to a position. Changes of another epoch are ignored.
+func (r *replica) apply(events []feed.Event, at feed.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if at.Epoch != r.at.Epoch {
+		return
+	}
 	for _, event := range events {
 		if event.Deleted {
 			delete(r.objects, event.Object.Name)
 		} else {
 			r.objects[event.Object.Name] = event.Object
 		}
-		r.recordChange(revision, event)
+		r.recordChange(at.Revision, event)
 	}
-	r.advance(revision)
+	r.advance(at)
 }
 
 // recordChange appends a change and drops the oldest ones beyond maxChanges.
@@ -92,14 +97,21 @@
 	}
 }
 
-// advance raises the revision and wakes waiting watches.
-func (r *replica) advance(revision uint64) {
-	if revision > r.revision {
-		r.revision = revision
+// advance raises the position and wakes waiting watches.
+func (r *replica) advance(at feed.Position) {
+	if r.at.Before(at) {
+		r.at = at
 		r.notify()
 	}
 }
 
+// isAfter reports whether the replica is newer than a position.
+func (r *replica) isAfter(at feed.Position) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return at.Before(r.at)
+}
+
 // setDirect sets whether the replica is kept up to date from the external store itself.
 func (r *replica) setDirect(direct bool) {
 	r.mu.Lock()
@@ -120,39 +132,39 @@
 func (r *replica) empty() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision == 0
+	return r.at.Revision == 0
 }
 
-// all returns all objects and their revision, whether the replica is direct or not.
-func (r *replica) all() ([]feed.Object, uint64) {
+// all returns all objects and their position, whether the replica is direct or not.
+func (r *replica) all() ([]feed.Object, feed.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Values(r.objects)), r.revision
+	return slices.Collect(maps.Values(r.objects)), r.at
 }
 
-// list returns all objects and their revision for a follower. It returns false if the replica
+// list returns all objects and their position for a follower. It returns false if the replica
 // isn't direct.
-func (r *replica) list() ([]feed.Object, uint64, bool) {
+func (r *replica) list() ([]feed.Object, feed.Position, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.direct {
-		return nil, 0, false
+		return nil, feed.Position{}, false
 	}
-	return slices.Collect(maps.Values(r.objects)), r.revision, true
+	return slices.Collect(maps.Values(r.objects)), r.at, true
 }
 
 // watchResult is the result of a follower's watch.
 type watchResult struct {
-	events   []feed.Event
-	revision uint64
-	// unavailable means that the replica isn't direct, gone that it no longer has all the
-	// changes asked for.
+	events []feed.Event
+	at     feed.Position
+	// unavailable means that the replica isn't direct or is of an earlier epoch, gone that it
+	// no longer has all the changes asked for.
 	unavailable, gone bool
 }
 
-// watch returns the changes after a revision. If there are none, it waits until the replica
+// watch returns the changes after a position. If there are none, it waits until the replica
 // is updated, at most for the given time.
-func (r *replica) watch(after uint64, wait time.Duration) watchResult {
+func (r *replica) watch(after feed.Position, wait time.Duration) watchResult {
 	result, updated := r.changesAfter(after)
 	if result.unavailable || result.gone || len(result.events) > 0 {
 		return result
@@ -167,20 +179,20 @@
 	return result
 }
 
-// changesAfter returns the changes after a revision, and a channel that is closed when the
+// changesAfter returns the changes after a position, and a channel that is closed when the
 // replica is updated.
-func (r *replica) changesAfter(after uint64) (watchResult, <-chan struct{}) {
+func (r *replica) changesAfter(after feed.Position) (watchResult, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case !r.direct:
+	case !r.direct || r.at.Epoch < after.Epoch:
 		return watchResult{unavailable: true}, r.updated
-	case after < r.oldest:
+	case r.at.Epoch > after.Epoch || after.Revision < r.oldest:
 		return watchResult{gone: true}, r.updated
 	}
-	result := watchResult{revision: max(r.revision, after)}
+	result := watchResult{at: feed.Position{Epoch: after.Epoch, Revision: max(r.at.Revision, after.Revision)}}
 	for _, change := range r.changes {
-		if change.revision > after {
+		if change.revision > after.Revision {
 			result.events = append(result.events, change.event)
 		}
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 )
 
@@ -31,8 +32,8 @@
 	if local == nil {
 		return peer.FeedObjects{Unavailable: true}, nil
 	}
-	objects, revision, direct := local.list()
-	response := peer.FeedObjects{Revision: revision, Unavailable: !direct}
+	objects, at, direct := local.list()
+	response := peer.FeedObjects{Revision: at.Revision, Epoch: at.Epoch, Unavailable: !direct}
 	for _, object := range objects {
 		response.Objects = append(response.Objects, peer.FeedObject{Name: object.Name, Spec: object.Spec})
 	}
@@ -48,9 +49,9 @@
 	if local == nil {
 		return peer.FeedChanges{Unavailable: true}, nil
 	}
-	result := local.watch(request.After, watchWait)
+	result := local.watch(feed.Position{Epoch: request.Epoch, Revision: request.After}, watchWait)
 	// The external store may have become unavailable during the wait.
-	response := peer.FeedChanges{Revision: result.revision, Unavailable: result.unavailable || s.options.StoreUnavailable(), Gone: result.gone}
+	response := peer.FeedChanges{Revision: result.at.Revision, Unavailable: result.unavailable || s.options.StoreUnavailable(), Gone: result.gone}
 	for _, event := range result.events {
 		changed := peer.FeedObject{Name: event.Object.Name, Deleted: event.Deleted}
 		if !event.Deleted {
