End watches that are sent just when a restore is noticed

Cause, seen once in the platform's tests on: TestConfigurationBelow- ALostRevisionIsAppliedAfterRestore failed, the log shows the restore and only the targets' feed regained. Both feeds had called at the same moment; the configuration's watch was sent after the abort, from a position of the lost history, and waited there for up to 25 s. The passing runs had noticed by a ping.

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -59,7 +59,8 @@
 	List(kind string, stale bool) (objects []Object, at Position, err error)
 	// Watch waits up to a duration for changes of a kind after a position. It returns
 	// them with the position to continue from, which is of the same epoch. The error may
-	// be ErrHistoryGone or ErrRestored.
+	// be ErrHistoryGone or ErrRestored. A response of any call that shows a restore ends
+	// the watches of former epochs, which may wait for changes that don't come.
 	Watch(kind string, after Position, wait time.Duration, stale bool) (events []Event, next Position, err error)
 	// Ping makes the cheapest call of the store. The error is nil if the store responds.
 	Ping() error
--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -135,11 +135,9 @@
 	m.recovered = make(chan struct{})
 }
 
-// markRestored is called when the store was restored from an older copy. Calls in progress are
-// aborted: a watch may wait for changes after a position of the former history.
+// markRestored is called when the store was restored from an older copy.
 func (m *Monitor) markRestored(previous, current uint64) {
 	m.log.WithField("previous_epoch", previous).WithField("epoch", current).Warn("store restored from an older copy")
-	m.store.Abort()
 }
 
 // waitToRetry waits before a failed call is retried, until the store recovers or the
