Keep departed targets unused after a restore of the store

Cause: the restored copy lists targets as ready that have reported draining or were removed since it was made, and the mirror believed it: requests went to targets that were leaving or gone.

After a restore these count as draining until another incarnation registers, or the object is removed in the new history and written again. Ruled out: to believe a "ready" that is written after the restore; lost writes may be repeated in order, "ready" before "draining".

--- a/internal/feed/targets.go
+++ b/internal/feed/targets.go
@@ -30,6 +30,8 @@
 	targets map[string]listedTarget
 	// missing holds, for each target that is missing after a gap, when it is removed.
 	missing map[string]time.Time
+	// departures are the targets that were draining or removed.
+	departures departures
 }
 
 // DecodeTarget returns the service and the target that an object describes. It returns an
@@ -45,6 +47,8 @@
 		onChange: onChange,
 		targets:  map[string]listedTarget{},
 		missing:  map[string]time.Time{},
+
+		departures: newDepartures(),
 	}
 }
 
@@ -52,6 +56,10 @@
 func (m *TargetMirror) Reset(objects []Object, gap Gap) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if gap == Restore {
+		m.recordDraining()
+		m.departures.restore(time.Now())
+	}
 	previous, missing := m.targets, m.missing
 	m.targets = make(map[string]listedTarget, len(objects))
 	m.missing = map[string]time.Time{}
@@ -64,9 +72,23 @@
 	if gap != NoGap {
 		m.keepMissing(previous)
 	}
+	for name, target := range previous {
+		if _, kept := m.targets[name]; !kept {
+			m.departures.record(time.Now(), target.info)
+		}
+	}
 	m.publish()
 }
 
+// recordDraining records the draining targets as departed.
+func (m *TargetMirror) recordDraining() {
+	for _, target := range m.targets {
+		if target.info.Draining {
+			m.departures.record(time.Now(), target.info)
+		}
+	}
+}
+
 // keepMissing keeps for reappearanceTime the targets that are no longer listed after a gap.
 func (m *TargetMirror) keepMissing(previous map[string]listedTarget) {
 	until := time.Now().Add(reappearanceTime)
@@ -95,7 +117,7 @@
 	for name, until := range m.missing {
 		if !now.Before(until) {
 			delete(m.missing, name)
-			delete(m.targets, name)
+			m.remove(name)
 		}
 	}
 	m.publish()
@@ -108,7 +130,8 @@
 	for _, event := range events {
 		delete(m.missing, event.Object.Name)
 		if event.Deleted {
-			delete(m.targets, event.Object.Name)
+			m.departures.forget(event.Object.Name)
+			m.remove(event.Object.Name)
 			continue
 		}
 		m.put(event.Object)
@@ -116,6 +139,14 @@
 	m.publish()
 }
 
+// remove removes a target and records its departure.
+func (m *TargetMirror) remove(name string) {
+	if target, ok := m.targets[name]; ok {
+		m.departures.record(time.Now(), target.info)
+	}
+	delete(m.targets, name)
+}
+
 // put stores the target of an object. If the object can't be decoded, its target is
 // removed.
 func (m *TargetMirror) put(object Object) {
@@ -126,6 +157,14 @@
 		delete(m.targets, name)
 		return
 	}
+	switch {
+	case info.Draining:
+	case !m.departures.isBarred(info):
+		m.departures.returned(name)
+	default:
+		m.log.WithField("target", name).Info("target listed again by a restored store has departed; it is not used")
+		info.Draining = true
+	}
 	m.targets[name] = listedTarget{service: service, info: info}
 }
 
--- a/internal/feed/targets_test.go
+++ b/internal/feed/targets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -66,3 +67,87 @@
 	m.Apply([]Event{{Object: Object{Name: "i-2", Spec: []byte("stock")}, Deleted: true}})
 	require.Equal(t, 0, <-passed)
 }
+
+// incarnation returns an object of a target whose spec is its incarnation and state.
+func incarnation(born int64, state string) Object {
+	return Object{Name: "i-1", Spec: fmt.Appendf(nil, "%d %s", born, state)}
+}
+
+// newIncarnationMirror returns a mirror for such objects, and a channel that receives after each
+// change whether the target may be used.
+func newIncarnationMirror() (*TargetMirror, <-chan bool) {
+	usable := make(chan bool, 10)
+	decode := func(object Object) (string, placement.TargetInfo, error) {
+		info := placement.TargetInfo{ID: object.Name}
+		var state string
+		_, err := fmt.Sscanf(string(object.Spec), "%d %s", &info.Incarnation, &state)
+		info.Draining = state == "draining"
+		return "stock", info, err
+	}
+	onChange := func(listed map[string][]placement.TargetInfo) {
+		targets := listed["stock"]
+		usable <- len(targets) == 1 && !targets[0].Draining
+	}
+	return NewTargetMirror(decode, onChange, logging.Discard()), usable
+}
+
+func TestDepartedTargetIsNotUsedAfterRestore(t *testing.T) {
+	ready, draining := incarnation(1, "ready"), incarnation(1, "draining")
+	leave := map[string]func(m *TargetMirror){
+		"draining":           func(m *TargetMirror) { m.Apply([]Event{{Object: draining}}) },
+		"removed":            func(m *TargetMirror) { m.Apply([]Event{{Object: ready, Deleted: true}}) },
+		"no longer listed":   func(m *TargetMirror) { m.Reset(nil, NoGap) },
+		"listed as draining": func(m *TargetMirror) { m.Reset([]Object{draining}, NoGap) },
+	}
+	for way, leave := range leave {
+		t.Run(way, func(t *testing.T) {
+			m, usable := newIncarnationMirror()
+			m.Reset([]Object{ready}, NoGap)
+			require.True(t, <-usable)
+			leave(m)
+			require.False(t, <-usable)
+			m.Reset([]Object{ready}, Restore)
+			require.False(t, <-usable)
+			m.Reset([]Object{ready}, NoGap)
+			require.False(t, <-usable, "nor after a second list")
+			m.Apply([]Event{{Object: ready}})
+			require.False(t, <-usable, "nor when its lost writes are repeated")
+			m.Reset([]Object{ready}, Restore)
+			require.False(t, <-usable, "nor after a second restore")
+			m.Apply([]Event{{Object: incarnation(2, "ready")}})
+			require.True(t, <-usable, "a new incarnation must be used")
+			m.Reset([]Object{incarnation(2, "ready")}, Restore)
+			require.True(t, <-usable)
+		})
+	}
+}
+
+// A target that the restored store removes and lists anew has registered since.
+func TestTargetThatRegistersAgainInTheRestoredStoreIsUsed(t *testing.T) {
+	ready := incarnation(1, "ready")
+	m, usable := newIncarnationMirror()
+	m.Reset([]Object{ready}, NoGap)
+	require.True(t, <-usable)
+	m.Apply([]Event{{Object: ready, Deleted: true}})
+	require.False(t, <-usable)
+	m.Reset([]Object{ready}, Restore)
+	require.False(t, <-usable)
+	m.Apply([]Event{{Object: ready, Deleted: true}})
+	require.False(t, <-usable)
+	m.Apply([]Event{{Object: ready}})
+	require.True(t, <-usable)
+}
+
+// Without a restore, a target whose registration lapsed may come back as it was.
+func TestTargetThatLapsedAndRegistersAgainIsUsed(t *testing.T) {
+	ready := incarnation(1, "ready")
+	m, usable := newIncarnationMirror()
+	m.Reset([]Object{ready}, NoGap)
+	require.True(t, <-usable)
+	m.Apply([]Event{{Object: ready, Deleted: true}})
+	require.False(t, <-usable)
+	m.Apply([]Event{{Object: ready}})
+	require.True(t, <-usable)
+	m.Reset([]Object{ready}, Restore)
+	require.True(t, <-usable, "it was in use before the restore")
+}
