Ask other daemons for a newer configuration before getting ready

Cause: a daemon that started after a restore of the store, and before the operator's configuration was written again, was ready with the older one while all others had the newer one in force.

The answer is decoded like the store's, and the higher revision wins. A daemon that can't list them starts without. Ruled out: the replicas of the configuration, which hold what the restored store lists.

--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"sync"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/poplarwheel/poplarwheel/internal/route"
@@ -16,8 +18,24 @@
 	// OnChange is called with each configuration that was decoded.
 	OnChange func(table *route.Table)
 	Log      logrus.FieldLogger
+
+	mu sync.Mutex
+	// newest is the spec of the decoded configuration with the highest revision.
+	newest   []byte
+	revision uint64
+}
+
+// Newest returns the spec and the revision of the newest configuration that was decoded, or nil
+// and 0 without one.
+func (m *ConfigMirror) Newest() (spec []byte, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest, m.revision
 }
 
+// Offer handles a configuration that was received from elsewhere than the store.
+func (m *ConfigMirror) Offer(spec []byte) { m.decode(Object{Name: m.Name, Spec: spec}) }
+
 // Reset implements Mirror.
 func (m *ConfigMirror) Reset(objects []Object, _ Gap) {
 	for _, object := range objects {
@@ -44,5 +62,14 @@
 		m.Log.WithError(err).Error("configuration passed over")
 		return
 	}
+	m.keepNewest(object.Spec, table.Revision())
 	m.OnChange(table)
 }
+
+func (m *ConfigMirror) keepNewest(spec []byte, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if revision > m.revision {
+		m.newest, m.revision = spec, revision
+	}
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -75,8 +75,13 @@
 	// quarantine detects requests that crash targets.
 	quarantine *quarantine.Coordinator
 
+	configPeers *configPeers
+
 	hasConfig  atomic.Bool
 	hasTargets atomic.Bool
+	// askedPeers is set once other daemons were asked for a newer configuration than the
+	// platform's, whether they have answered or not.
+	askedPeers atomic.Bool
 	// stopping is set once the daemon drains or stops.
 	stopping atomic.Bool
 	// serving is set while callers may be directed to this daemon.
@@ -201,9 +206,9 @@
 }
 
 // updateReadiness announces to other daemons that this one is ready, once it has both a
-// configuration and targets.
+// configuration and targets and has asked other daemons for a newer configuration.
 func (d *Daemon) updateReadiness() {
-	if d.stopping.Load() || !d.hasConfig.Load() || !d.hasTargets.Load() {
+	if d.stopping.Load() || !d.hasConfig.Load() || !d.hasTargets.Load() || !d.askedPeers.Load() {
 		return
 	}
 	if !d.serving.Swap(true) {
--- a/internal/gatewayd/feeds.go
+++ b/internal/gatewayd/feeds.go
@@ -26,10 +26,11 @@
 		StoreUnavailable: d.monitor.Unavailable,
 	})
 	d.monitor.OnLost(store.MarkUnavailable)
+	config := &feed.ConfigMirror{Name: feeds.ConfigName, Decode: feeds.DecodeConfig, OnChange: d.configure, Log: d.log}
+	d.configPeers = &configPeers{daemon: d, mirror: config, client: client}
 	if err := d.servePeers(store, client); err != nil {
 		return err
 	}
-	config := &feed.ConfigMirror{Name: feeds.ConfigName, Decode: feeds.DecodeConfig, OnChange: d.configure, Log: d.log}
 	targets := feed.NewTargetMirror(feeds.DecodeTarget, d.setTargets, d.log)
 	go d.monitor.Run()
 	go feed.NewFollower(store, d.monitor, feeds.ConfigKind, config, d.log).Run()
@@ -46,6 +47,7 @@
 	d.closers = append(d.closers, listener)
 	server := peer.NewServer([]byte(d.settings.PeerKey), d.log)
 	store.Register(server)
+	server.Register(peer.MethodNewestConfig, d.configPeers.serve)
 	d.startQuarantine(client, server)
 	go func() {
 		if err := server.Serve(listener); !d.stopping.Load() {
--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -21,6 +21,7 @@
 // be outdated, so it lists them a second time soon, when daemons that started at the same
 // time are visible.
 func (d *Daemon) register(self heartbeat.Member) {
+	d.askPeers()
 	// Heartbeats carry what changes with each start. Without it, the registration of a
 	// daemon that restarts is already up to date.
 	self.State, self.StartedMillis = "", 0
@@ -42,6 +43,18 @@
 	}
 }
 
+// askPeers asks the registered daemons for a newer configuration than the platform's. If they
+// can't be listed, the daemon starts without.
+func (d *Daemon) askPeers() {
+	members, err := d.platform.RegisteredDaemons()
+	if err != nil {
+		d.log.WithError(err).Warn("failed to list the daemons to ask for their configuration")
+	}
+	d.configPeers.askAll(members)
+	d.askedPeers.Store(true)
+	d.updateReadiness()
+}
+
 // discover passes the registered daemons to the heartbeat node.
 func (d *Daemon) discover() error {
 	members, err := d.platform.RegisteredDaemons()
