Reject configurations of ambiguous or unreachable routes

Cause: route.Compile let a later route replace one of the same host and prefix, so requests went to another service or kind than configured; services and routes without name, as from a null entry of a list, were put in force; and routes whose host bears a port or a space, or whose prefix bears a query, matched no request: 404. Routes and services are identified by their names, and one route at most has a host and prefix, so no valid configuration is refused by this. Weights whose sum overflows sent all requests to one service.

TestFindMatchesLinearSearch drew several routes of one prefix at times, which is now invalid; it draws distinct ones.

--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -14,15 +14,25 @@
 
 // Problems of a route.
 const (
+	MissingName        Problem = "the route has no name"
+	DuplicateName      Problem = "another route has the same name"
+	DuplicatePrefix    Problem = "another route has the same host and path prefix"
 	MissingHost        Problem = "the route has no host"
+	InvalidHost        Problem = "the host must be a name without port, which no other characters surround"
 	InvalidTimeout     Problem = "the timeout must be positive and at most a year"
 	InvalidObjective   Problem = "the latency objective must not be negative or more than a year"
-	InvalidPrefix      Problem = "the path prefix must begin and end with a slash"
+	InvalidPrefix      Problem = "the path prefix must begin and end with a slash and have no query"
 	UnknownService     Problem = "the route refers to a service that is not configured"
-	InvalidWeights     Problem = "the service weights must not be negative and their sum must be positive"
+	InvalidWeights     Problem = "the service weights must not be negative and their sum must be positive and finite"
 	InvalidMaxAttempts Problem = "the maximum number of attempts must be at least 1"
 )
 
+// Problems of a service.
+const (
+	MissingServiceName   Problem = "a service has no name"
+	DuplicateServiceName Problem = "two services have the same name"
+)
+
 // Problems of the limits.
 const (
 	InvalidHeaderBytes    Problem = "the maximum size of a header must be positive"
@@ -31,17 +41,18 @@
 	InvalidIdleTimeout    Problem = "the idle timeout must be positive"
 )
 
-// InvalidError reports a configuration that is rejected as a whole, because a route or the
-// limits are invalid.
+// InvalidError reports a configuration that is rejected as a whole, because a route, a service
+// or the limits are invalid.
 type InvalidError struct {
-	// Route is the name of the invalid route, or empty if the limits are invalid.
+	// Route is the name of the invalid route, its host and path prefix if it has no name, or
+	// empty if a service or the limits are invalid.
 	Route   string
 	Problem Problem
 }
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	part := "limits"
+	part := "services or limits"
 	if e.Route != "" {
 		part = fmt.Sprintf("route %q", e.Route)
 	}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strings"
 	"time"
 )
@@ -87,30 +88,65 @@
 	if err := config.Limits.validate(); err != nil {
 		return nil, err
 	}
-	for _, service := range config.Services {
+	if err := t.addServices(); err != nil {
+		return nil, err
+	}
+	if err := t.addRoutes(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Table) addServices() error {
+	for _, service := range t.config.Services {
+		if service.Name == "" {
+			return &InvalidError{Problem: MissingServiceName}
+		}
+		if t.services[service.Name] != nil {
+			return &InvalidError{Problem: DuplicateServiceName}
+		}
 		t.services[service.Name] = service
 	}
-	for _, r := range config.Routes {
+	return nil
+}
+
+func (t *Table) addRoutes() error {
+	names := make(map[string]struct{}, len(t.config.Routes))
+	for _, r := range t.config.Routes {
 		if err := t.validate(r); err != nil {
-			return nil, err
+			return err
+		}
+		if _, found := names[r.Name]; found {
+			return &InvalidError{Route: r.Name, Problem: DuplicateName}
 		}
-		host := strings.ToLower(r.Host)
-		byPrefix := t.routes[host]
-		if byPrefix == nil {
-			byPrefix = map[string]*Route{}
-			t.routes[host] = byPrefix
+		names[r.Name] = struct{}{}
+		if err := t.addRoute(r); err != nil {
+			return err
 		}
-		byPrefix[r.Prefix] = r
 	}
-	return t, nil
+	return nil
+}
+
+func (t *Table) addRoute(r *Route) error {
+	host := strings.ToLower(r.Host)
+	byPrefix := t.routes[host]
+	if byPrefix == nil {
+		byPrefix = map[string]*Route{}
+		t.routes[host] = byPrefix
+	}
+	if byPrefix[r.Prefix] != nil {
+		return &InvalidError{Route: r.Name, Problem: DuplicatePrefix}
+	}
+	byPrefix[r.Prefix] = r
+	return nil
 }
 
 // maxDuration is the longest timeout and objective of a route that is taken for intended.
 const maxDuration = 365 * 24 * time.Hour
 
 func (t *Table) validate(r *Route) error {
-	if r.Host == "" {
-		return &InvalidError{Route: r.Name, Problem: MissingHost}
+	if err := validateMatch(r); err != nil {
+		return err
 	}
 	if r.Timeout <= 0 || r.Timeout > maxDuration {
 		return &InvalidError{Route: r.Name, Problem: InvalidTimeout}
@@ -118,9 +154,6 @@
 	if r.Objective < 0 || r.Objective > maxDuration {
 		return &InvalidError{Route: r.Name, Problem: InvalidObjective}
 	}
-	if len(r.Prefix) == 0 || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/' {
-		return &InvalidError{Route: r.Name, Problem: InvalidPrefix}
-	}
 	total := 0.0
 	for _, weighted := range r.WeightedServices {
 		if t.services[weighted.Service] == nil {
@@ -131,7 +164,7 @@
 		}
 		total += weighted.Weight
 	}
-	if total <= 0 {
+	if total <= 0 || math.IsInf(total, 0) {
 		return &InvalidError{Route: r.Name, Problem: InvalidWeights}
 	}
 	if r.MaxAttempts < 1 {
@@ -140,6 +173,28 @@
 	return nil
 }
 
+const (
+	// outsideHost are characters that end the name in a request's host.
+	outsideHost = ":/?#@ \t"
+	// outsidePath are characters that no path of a request contains.
+	outsidePath = "?# \t"
+)
+
+// validateMatch rejects a route that no request can match.
+func validateMatch(r *Route) error {
+	switch {
+	case r.Name == "":
+		return &InvalidError{Route: r.Host + r.Prefix, Problem: MissingName}
+	case r.Host == "":
+		return &InvalidError{Route: r.Name, Problem: MissingHost}
+	case strings.ContainsAny(r.Host, outsideHost):
+		return &InvalidError{Route: r.Name, Problem: InvalidHost}
+	case !strings.HasPrefix(r.Prefix, "/"), !strings.HasSuffix(r.Prefix, "/"), strings.ContainsAny(r.Prefix, outsidePath):
+		return &InvalidError{Route: r.Name, Problem: InvalidPrefix}
+	}
+	return nil
+}
+
 // validate rejects limits under which no request could be served.
 func (l *Limits) validate() error {
 	switch {
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -72,7 +72,9 @@
 func TestFindMatchesLinearSearch(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		segment := rapid.SampledFrom([]string{"a", "b", "ab"})
-		prefixes := rapid.SliceOfN(rapid.SliceOfN(segment, 0, 3), 1, 8).Draw(t, "prefixes")
+		prefixes := rapid.SliceOfNDistinct(rapid.SliceOfN(segment, 0, 3), 1, 8, func(parts []string) string {
+			return strings.Join(parts, "/")
+		}).Draw(t, "prefixes")
 		var routes []*Route
 		for i, parts := range prefixes {
 			prefix := "/" + strings.Join(append(parts, ""), "/")
@@ -112,7 +114,9 @@
 
 func TestCompileRejectsConfigurationWithOneInvalidRoute(t *testing.T) {
 	cases := map[Problem]func(r *Route){
+		DuplicatePrefix:    func(r *Route) { r.Host, r.Prefix = "H", "/" },
 		MissingHost:        func(r *Route) { r.Host = "" },
+		InvalidHost:        func(r *Route) { r.Host = "h:80" },
 		InvalidTimeout:     func(r *Route) { r.Timeout = 0 },
 		InvalidObjective:   func(r *Route) { r.Objective = -time.Second },
 		InvalidPrefix:      func(r *Route) { r.Prefix = "/shop" },
@@ -131,6 +135,23 @@
 	}
 }
 
+func TestCompileRejectsRoutesAndServicesThatTheirNamesDoNotTellApart(t *testing.T) {
+	good := newRoute("good", "h", "/")
+	stock := &Service{Name: "stock"}
+	for problem, config := range map[Problem]Config{
+		MissingName:          {Services: []*Service{stock}, Routes: []*Route{good, newRoute("", "h", "/a/")}},
+		DuplicateName:        {Services: []*Service{stock}, Routes: []*Route{good, newRoute("good", "h", "/a/")}},
+		MissingServiceName:   {Services: []*Service{stock, {}}, Routes: []*Route{good}},
+		DuplicateServiceName: {Services: []*Service{stock, {Name: "stock"}}, Routes: []*Route{good}},
+	} {
+		config.Limits = newConfig().Limits
+		_, err := Compile(config)
+		var invalid *InvalidError
+		require.ErrorAs(t, err, &invalid, problem)
+		require.Equal(t, problem, invalid.Problem)
+	}
+}
+
 func TestCompileRejectsLimitsUnderWhichNoRequestIsServed(t *testing.T) {
 	cases := map[Problem]func(l *Limits){
 		InvalidHeaderBytes:    func(l *Limits) { l.HeaderBytes = 0 },
