Don't call a part of a chunked body too large under extreme limits

Cause: while a chunked body is incomplete, its size on the wire was compared with the header limit + 8 x the body limit. From a body limit of 2^60 on the product overflows, and every chunked upload that came in pieces ended with 413; likewise, with a body limit near 0, one whose header has nearly the maximum size, since framing and trailers had no room of their own.

Now only the body counts, with room for its last chunk and trailers, and the product doesn't overflow.

--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 
 	"github.com/panjf2000/gnet/v2"
@@ -50,11 +51,19 @@
 const (
 	// lengthChunked is the content length that fasthttp reports for a chunked body.
 	lengthChunked = -1
-	// chunkOverhead is the maximum ratio of the encoded size of a chunked body to
-	// BodyBytes.
+	// chunkOverhead is the maximum ratio of the encoded size of a chunked body, without its
+	// last chunk and trailers, to BodyBytes.
 	chunkOverhead = 8
 )
 
+// chunkedBytes returns the maximum encoded size of a chunked body.
+func (l *Limits) chunkedBytes() int {
+	if l.BodyBytes > math.MaxInt/(2*chunkOverhead) {
+		return math.MaxInt
+	}
+	return chunkOverhead*l.BodyBytes + framing.MaxChunkLineBytes + framing.MaxTrailerBytes
+}
+
 var (
 	headerEnd         = []byte("\r\n\r\n")
 	contentLengthLine = []byte("\ncontent-length:")
@@ -188,7 +197,7 @@
 		return 0, malformed(err)
 	case complete:
 		return size, decodeChunks(request, buffered[headerSize:size], limits)
-	case len(buffered) > limits.HeaderBytes+chunkOverhead*limits.BodyBytes:
+	case len(buffered)-headerSize > limits.chunkedBytes():
 		return 0, rejection(request, fasthttp.StatusRequestEntityTooLarge, "body_too_large")
 	}
 	return size, nil
