Measure the timeouts of callers' connections by the monotonic clock

Cause: a connection's waiting time was kept in Unix nanoseconds, so it followed the wall clock. When that was set forward, or went on while the VM was suspended, by more than a timeout, all idle connections were closed at the next check, and so were connections with a part of a request (without an answer) or a response being sent. When it was set back, none timed out.

Timeouts that have really passed still count.

--- a/internal/callerserver/close.go
+++ b/internal/callerserver/close.go
@@ -40,7 +40,7 @@
 // send writes the response of a connection's oldest exchange.
 func (s *Server) send(e *Exchange, response *bytebufferpool.ByteBuffer) {
 	state := e.state
-	state.waitingSince.Store(time.Now().UnixNano())
+	state.waitingSince.Store(s.uptime(time.Now()))
 	state.phase.Store(phaseFlushing)
 	_, err := e.conn.Write(response.B)
 	bytebufferpool.Put(response)
@@ -82,7 +82,7 @@
 		state.phase.Store(phaseIdle)
 		return s.closeGracefully(conn, state)
 	}
-	state.waitingSince.Store(time.Now().UnixNano())
+	state.waitingSince.Store(s.uptime(time.Now()))
 	state.phase.Store(phaseIdle)
 	if conn.InboundBuffered() > 0 {
 		return conn.Wake(nil)
@@ -127,7 +127,7 @@
 // could destroy a response still in transit.
 func (s *Server) closeGracefully(conn gnet.Conn, state *connState) error {
 	if state.phase.Swap(phaseClosing) != phaseClosing {
-		state.waitingSince.Store(time.Now().UnixNano())
+		state.waitingSince.Store(s.uptime(time.Now()))
 	}
 	if conn.OutboundBuffered() > 0 {
 		time.AfterFunc(flushPollInterval, func() { _ = conn.Wake(nil) })
--- a/internal/callerserver/events.go
+++ b/internal/callerserver/events.go
@@ -28,7 +28,7 @@
 		conn.SetContext(state)
 		return s.connectionLimitResponse(), gnet.Close
 	}
-	state.waitingSince.Store(time.Now().UnixNano())
+	state.waitingSince.Store(s.uptime(time.Now()))
 	conn.SetContext(state)
 	s.conns.Store(conn, state)
 	return nil, gnet.None
@@ -95,5 +95,5 @@
 	case phaseClosing:
 		limit = lingerTimeout
 	}
-	return now.Sub(time.Unix(0, since)) > limit
+	return time.Duration(s.uptime(now)-since) > limit
 }
--- a/internal/callerserver/requests.go
+++ b/internal/callerserver/requests.go
@@ -108,7 +108,7 @@
 		return gnet.None
 	}
 	if state.phase.Swap(phasePartial) != phasePartial {
-		state.waitingSince.Store(time.Now().UnixNano())
+		state.waitingSince.Store(s.uptime(time.Now()))
 	}
 	if s.trackBuffered(state, arrived) {
 		return s.reject(conn, state, &ParseError{Status: fasthttp.StatusServiceUnavailable, Reason: "buffers_full"})
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -71,6 +71,8 @@
 type Server struct {
 	gnet.BuiltinEventEngine
 	handler Handler
+	// created is the start of uptime.
+	created time.Time
 	limits  atomic.Pointer[Limits]
 	log     logrus.FieldLogger
 	// rejections counts and logs the requests that can't be parsed.
@@ -91,7 +93,7 @@
 
 // New returns a server. It accepts connections once Run or RunSingleLoop is called.
 func New(handler Handler, limits Limits, log logrus.FieldLogger) *Server {
-	s := &Server{handler: handler, log: log, rejections: newRejections(log), started: make(chan struct{}), loop: make(chan gnet.EventLoop, 1)}
+	s := &Server{handler: handler, created: time.Now(), log: log, rejections: newRejections(log), started: make(chan struct{}), loop: make(chan gnet.EventLoop, 1)}
 	s.SetLimits(limits)
 	return s
 }
@@ -99,6 +101,10 @@
 // SetLimits replaces the limits. They apply to whatever callers send from then on.
 func (s *Server) SetLimits(limits Limits) { s.limits.Store(&limits) }
 
+// uptime returns the nanoseconds from the creation of the server to a time, which are at least 1.
+// They don't depend on the wall clock, which may be set.
+func (s *Server) uptime(now time.Time) int64 { return max(int64(now.Sub(s.created)), 1) }
+
 // Run accepts connections on address ("ip:port") with the given number of event loops
 // until Stop is called.
 func (s *Server) Run(address string, eventLoops int) error {
--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -24,8 +24,8 @@
 	requestSize int
 	// pipelined is set while exchanges are queued behind exchange.
 	pipelined atomic.Bool
-	// waitingSince is the time since which the server waits for the caller, in Unix
-	// nanoseconds. It is 0 while a request is served.
+	// waitingSince is the Server.uptime since which the server waits for the caller. It is 0
+	// while a request is served.
 	waitingSince atomic.Int64
 	// phase is one of the phase constants.
 	phase atomic.Int32
