Don't cut off a request that arrived before its connection timed out

Cause: the timeouts are checked on another goroutine than the event loop, and the close was queued to the loop without a second look. After a freeze, or while the loop is held up, a connection counted as idle too long though the next request had arrived in time: the loop read the request, passed it on, and then closed the connection without an answer.

TestRequestThatArrivedBeforeTheIdleTimeoutIsNotCutOffAfterAFreeze failed before (EOF instead of the response). The loop now checks the timeout again before it closes.

--- a/internal/callerserver/events.go
+++ b/internal/callerserver/events.go
@@ -1,6 +1,7 @@
 package callerserver
 
 import (
+	"context"
 	"net"
 	"time"
 
@@ -71,14 +72,27 @@
 func (s *Server) OnTick() (time.Duration, gnet.Action) {
 	now := time.Now()
 	s.conns.Range(func(key, value any) bool {
-		if s.timedOut(value.(*connState), now) {
-			_ = key.(gnet.Conn).Close()
+		if state := value.(*connState); s.timedOut(state, now) {
+			s.closeTimedOut(key.(gnet.Conn), state)
 		}
 		return true
 	})
 	return sweepInterval, gnet.None
 }
 
+// closeTimedOut closes a connection unless its event loop, which may have been held up, has
+// meanwhile read what the caller had sent in time.
+func (s *Server) closeTimedOut(conn gnet.Conn, state *connState) {
+	loop := conn.EventLoop()
+	// A loop that shuts down closes all connections.
+	_ = loop.Execute(context.Background(), gnet.RunnableFunc(func(context.Context) error {
+		if !state.open || !s.timedOut(state, time.Now()) {
+			return nil
+		}
+		return loop.Close(conn)
+	}))
+}
+
 // timedOut reports whether a connection has exceeded the timeout of its phase.
 func (s *Server) timedOut(state *connState, now time.Time) bool {
 	since := state.waitingSince.Load()
