Don't take the user information of an absolute form for a host

Cause: the whole authority of "http://h:x@y.example/a" replaced the Host header, and the route is looked up by what precedes the first colon, here the user's name: a request for y.example could be sent to the targets of h. Such a target is now left as it is and matches no route.

TestAbsoluteFormIsServedAsOriginForm failed before in its new case (Host "h:x@y.example").

--- a/internal/callerserver/absolute.go
+++ b/internal/callerserver/absolute.go
@@ -13,8 +13,13 @@
 	schemes = [][]byte{[]byte("http"), []byte("https")}
 )
 
+// userinfoEnd separates the user information from the host of an authority.
+const userinfoEnd = '@'
+
 // useOriginForm rewrites a request target in absolute form ("http://host/path") to the origin
 // form ("/path"). The authority replaces the Host header, as RFC 9112, section 3.2.2, requires.
+// It leaves a target with user information, of which RFC 9110, section 4.2.4, warns, so that it
+// matches no route.
 func useOriginForm(header *fasthttp.RequestHeader) {
 	target := header.RequestURI()
 	if len(target) == 0 || target[0] == '/' {
@@ -28,10 +33,11 @@
 	if end < 0 {
 		end = len(rest)
 	}
-	if end == 0 {
+	authority := rest[:end]
+	if len(authority) == 0 || bytes.IndexByte(authority, userinfoEnd) >= 0 {
 		return
 	}
-	header.SetHostBytes(rest[:end])
+	header.SetHostBytes(authority)
 	path := bytes.Clone(rest[end:])
 	if len(path) == 0 || path[0] != '/' {
 		path = append(bytes.Clone(rootPath), path...)
--- a/internal/callerserver/absolute_test.go
+++ b/internal/callerserver/absolute_test.go
@@ -15,6 +15,7 @@
 		"http://x.example?b=/":   {"x.example", "/?b=/"},
 		"http:///a":              {"h", "http:///a"},
 		"ftp://x.example/a":      {"h", "ftp://x.example/a"},
+		"http://h:x@y.example/a": {"h", "http://h:x@y.example/a"},
 	} {
 		limits := testLimits
 		limits.AnyRequest = true
