Send "100 Continue" to callers that wait for it behind another request

Cause: a request whose body had not arrived was parsed while the one before it was unanswered. No "100 Continue" may be sent then, but the size was remembered, and until that many bytes had arrived the server looked no further: a caller that waited for the interim response before sending its body was left without it until the connection timed out.

The size is remembered only once the requests before are answered.

--- a/internal/callerserver/requests.go
+++ b/internal/callerserver/requests.go
@@ -54,7 +54,9 @@
 	}
 	if request == nil {
 		s.sendContinue(conn, state, buffered, limits)
-		state.requestSize = size
+		if state.exchange == nil {
+			state.requestSize = size
+		}
 		return false, s.awaitMore(conn, state, len(buffered))
 	}
 	concurrent := s.mayRunConcurrently(request)
--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -20,7 +20,8 @@
 	continueSent bool
 	// buffered is this connection's share of Server.buffered.
 	buffered int64
-	// requestSize is the size of the incomplete request, 0 if not yet known.
+	// requestSize is the size of the incomplete request, 0 if not yet known or if the requests
+	// before it are unanswered.
 	requestSize int
 	// pipelined is set while exchanges are queued behind exchange.
 	pipelined atomic.Bool
