Answer a request though its caller sends too much behind it

Cause: while a request is served, a connection with more unread input than one request of the maximum size was closed, and the response was lost with it. Pipelined requests are not read ahead while the daemon drains, so a few large ones behind a request that a target was working on cut it off. With a body limit near MaxInt the sum of the limits overflowed, and any input behind a request closed the connection.

TestRequestInProgressIsAnsweredThoughItsCallerSendsTooMuchBehindIt failed before in its 3 cases (EOF instead of the response). Such input is now discarded, and the connection closes after the responses, behind which requests count as not read. Nothing more is buffered than before, and a caller that goes on to send 16 times the limit still has its connection closed at once, so TestFloodDuringRequestClosesConnection holds unchanged.

--- a/internal/callerserver/close.go
+++ b/internal/callerserver/close.go
@@ -76,7 +76,7 @@
 	}
 	state.blocked = false
 	state.pipelined.Store(false)
-	if s.draining.Load() && conn.InboundBuffered() == 0 {
+	if state.discarding || s.draining.Load() && conn.InboundBuffered() == 0 {
 		// The response was serialized before it was known to be the last one, so it
 		// does not announce the close.
 		state.phase.Store(phaseIdle)
--- a/internal/callerserver/requests.go
+++ b/internal/callerserver/requests.go
@@ -83,27 +83,41 @@
 // mayReadAhead reports whether the next request may be read before the previous ones are
 // answered.
 func (s *Server) mayReadAhead(state *connState) bool {
-	if state.blocked || !state.exchange.concurrent || state.exchange.closeAfter || s.draining.Load() {
+	if state.blocked || state.discarding || !state.exchange.concurrent || state.exchange.closeAfter || s.draining.Load() {
 		return false
 	}
 	return len(state.queued)+1 < s.limits.Load().PipelineDepth
 }
 
-// limitInbound bounds what a caller sends while its request is served, by closing the
-// connection. Once the last response of a connection is being sent, further input is
-// discarded instead, so that the response is not cut off.
+// maxDiscardedRequests is how many requests of the maximum size a caller may send in vain before
+// its connection is closed at once.
+const maxDiscardedRequests = 16
+
+// limitInbound bounds what a caller sends while its requests are served. Above the maximum size
+// of a request, input is discarded and the connection closes after the responses, which it must
+// not cut off; a caller that floods the server loses them. Once the last response of a connection
+// is being sent, input is discarded, too.
 func (s *Server) limitInbound(conn gnet.Conn, state *connState) gnet.Action {
-	if state.phase.Load() == phaseFlushing && state.exchange.closeAfter {
-		_, _ = conn.Discard(-1)
-		return gnet.None
-	}
 	limits := s.limits.Load()
-	if conn.InboundBuffered() > limits.HeaderBytes+limits.BodyBytes {
+	if limits.exceededBy(conn.InboundBuffered()) {
+		state.discarding = true
+	}
+	if state.discarding {
+		discarded, _ := conn.Discard(-1)
+		state.discarded += discarded
+	}
+	if limits.exceededBy(state.discarded / maxDiscardedRequests) {
 		return gnet.Close
 	}
+	if state.phase.Load() == phaseFlushing && state.exchange.closeAfter {
+		_, _ = conn.Discard(-1)
+	}
 	return gnet.None
 }
 
+// exceededBy reports whether bytes are more than a request of the maximum size has.
+func (l *Limits) exceededBy(bytes int) bool { return bytes-l.HeaderBytes > l.BodyBytes }
+
 // awaitMore waits for the rest of an incomplete request.
 func (s *Server) awaitMore(conn gnet.Conn, state *connState, arrived int) gnet.Action {
 	if state.exchange != nil {
--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -16,6 +16,11 @@
 	queued []*Exchange
 	// blocked is set while the next request must wait for all requests before it.
 	blocked bool
+	// discarding is set once the caller has sent more than the limits while its requests were
+	// served. The connection closes after their responses.
+	discarding bool
+	// discarded is the number of bytes that were discarded since.
+	discarded int
 	// continueSent is set once "100 Continue" was sent for the incomplete request.
 	continueSent bool
 	// buffered is this connection's share of Server.buffered.
