--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"strings"
 
 	"github.com/panjf2000/gnet/v2"
@@ -49,11 +50,19 @@
 const (
 	// lengthChunked is the content length that fasthttp reports for a chunked body.
 	lengthChunked = -1
-	// chunkOverhead is the maximum ratio of the encoded size of a chunked body to
-	// BodyBytes.
+	// chunkOverhead is the maximum ratio of the encoded size of a chunked body, without its
+	// last chunk and trailers, to BodyBytes.
 	chunkOverhead = 8
 )
 
+// chunkedBytes returns the maximum encoded size of a chunked body.
+func (l *Limits) chunkedBytes() int {
+	if l.BodyBytes > math.MaxInt/(2*chunkOverhead) {
+		return math.MaxInt
+	}
+	return chunkOverhead*l.BodyBytes + framing.MaxChunkLineBytes + framing.MaxTrailerBytes
+}
+
 var (
 	headerEnd         = []byte("\r\n\r\n")
 	contentLengthLine = []byte("\ncontent-length:")
@@ -185,7 +194,7 @@
 	case complete:
 		return size, decodeChunks(request, buffered[headerSize:size], limits)
 	}
-	return size, checkEncodedSize(request, len(buffered), limits)
+	return size, checkEncodedSize(request, len(buffered)-headerSize, limits)
 }
 
 // decodeChunks decodes a complete chunked body with its trailers.
--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -18,11 +18,17 @@
 	queued []*Exchange
 	// blocked is set while the next request must wait for all requests before it.
 	blocked bool
+	// discarding is set once the caller has sent more than the limits while its requests were
+	// served. The connection closes after their responses.
+	discarding bool
+	// discarded is the number of bytes that were discarded since.
+	discarded int
 	// continueSent is set once "100 Continue" was sent for the incomplete request.
 	continueSent bool
 	// buffered is this connection's share of Server.buffered.
 	buffered int64
-	// requestSize is the size of the incomplete request, 0 if not yet known.
+	// requestSize is the size of the incomplete request, 0 if not yet known or if the requests
+	// before it are unanswered.
 	requestSize int
 	// upload is the incomplete request if it is chunked and none before it is unfinished.
 	upload *upload
--- a/internal/callerserver/upload.go
+++ b/internal/callerserver/upload.go
@@ -60,7 +60,7 @@
 		}
 		arrived := min(needed-len(u.body), conn.InboundBuffered())
 		if arrived == 0 {
-			return nil, checkEncodedSize(u.request, u.size(), limits)
+			return nil, checkEncodedSize(u.request, len(u.body), limits)
 		}
 		if err := u.take(conn, arrived); err != nil {
 			return nil, malformed(err)
@@ -96,9 +96,10 @@
 	return malformed(err)
 }
 
-// checkEncodedSize rejects an incomplete chunked request of which too many bytes have arrived.
-func checkEncodedSize(request *fasthttp.Request, size int, limits Limits) error {
-	if size > limits.HeaderBytes+chunkOverhead*limits.BodyBytes {
+// checkEncodedSize rejects a request with an incomplete chunked body of which too many bytes have
+// arrived.
+func checkEncodedSize(request *fasthttp.Request, bodyBytes int, limits Limits) error {
+	if bodyBytes > limits.chunkedBytes() {
 		return rejection(request, fasthttp.StatusRequestEntityTooLarge, "body_too_large")
 	}
 	return nil
