Ask other daemons also when starting in an outage of the store

The listing is now repeated until it succeeds; three failures count once the daemon has a configuration, so that a store that refuses only this call doesn't keep it from serving.

TestDaemonStartedDuringTheOutageTakesTheNewestConfigurationOfItsPeers failed twice of two before, passed twice of two after.

--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -12,6 +12,11 @@
 	// secondListDelay is the pause between the first and the second listing of the
 	// registered daemons.
 	secondListDelay = time.Second
+	// listRetryInterval is the pause before a failed listing of the daemons to ask for
+	// their configuration is retried. maxListFailures bounds the failures while the
+	// platform responds to other calls.
+	listRetryInterval = 400 * time.Millisecond
+	maxListFailures   = 3
 	// listInterval is the pause between later listings. It can be long: a daemon that
 	// starts contacts all daemons that it finds, so later listings only find missed ones.
 	listInterval = 15 * time.Second
@@ -44,13 +49,20 @@
 }
 
 // askPeers asks the registered daemons for a newer configuration than the platform's. If they
-// can't be listed, the daemon starts without.
+// can't be listed although the platform responds to other calls, the daemon starts without.
 func (d *Daemon) askPeers() {
-	members, err := d.platform.RegisteredDaemons()
-	if err != nil {
-		d.log.WithError(err).Warn("failed to list the daemons to ask for their configuration")
+	for failures := 0; failures < maxListFailures && !d.stopping.Load(); {
+		members, err := d.platform.RegisteredDaemons()
+		if err == nil {
+			d.configPeers.askAll(members)
+			break
+		}
+		if d.hasConfig.Load() {
+			failures++
+		}
+		d.log.WithError(err).Info("failed to list the daemons to ask for their configuration")
+		time.Sleep(listRetryInterval)
 	}
-	d.configPeers.askAll(members)
 	d.askedPeers.Store(true)
 	d.updateReadiness()
 }
