Take a valid configuration that stands before an invalid one in a watch

What callers would see: 404 on new routes until the operator writes again, if the store's valid version and an invalid entry of another writer arrive within one watch (the pause between two is 300 ms).

Cause: of several changes the mirror decoded the last one only. It now takes the last one that can be decoded.

--- a/internal/feed/config.go
+++ b/internal/feed/config.go
@@ -45,25 +45,26 @@
 	}
 }
 
-// Apply implements Mirror. Of several changes only the last one is used. When the object
-// is deleted, the last configuration stays in force.
+// Apply implements Mirror. Of several changes only the last one that can be decoded is used.
+// When the object is deleted, the last configuration stays in force.
 func (m *ConfigMirror) Apply(events []Event) {
 	for i := len(events) - 1; i >= 0; i-- {
-		if events[i].Object.Name == m.Name && !events[i].Deleted {
-			m.decode(events[i].Object)
+		if events[i].Object.Name == m.Name && !events[i].Deleted && m.decode(events[i].Object) {
 			return
 		}
 	}
 }
 
-func (m *ConfigMirror) decode(object Object) {
+// decode hands on the configuration of an object. It returns false if that can't be decoded.
+func (m *ConfigMirror) decode(object Object) bool {
 	table, err := m.Decode(object.Spec)
 	if err != nil {
 		m.Log.WithError(err).Error("configuration passed over")
-		return
+		return false
 	}
 	m.keepNewest(object.Spec, table.Revision())
 	m.OnChange(table)
+	return true
 }
 
 func (m *ConfigMirror) keepNewest(spec []byte, revision uint64) {
