--- a/internal/jsonsplit/jsonsplit.go
+++ b/internal/jsonsplit/jsonsplit.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 
 	"github.com/zeebo/errs"
 )
@@ -16,8 +17,12 @@
 
 var null = []byte("null")
 
-// Elements returns the elements of an array, which share its memory. It returns none for null.
+// Elements returns the elements of an array, which share its memory. It returns none for null
+// and for a nil array.
 func Elements(array []byte) ([][]byte, error) {
+	if array == nil {
+		return nil, nil
+	}
 	s := &scanner{text: array}
 	var elements [][]byte
 	err := s.scan('[', ']', func() error {
@@ -45,6 +50,15 @@
 	return fields, err
 }
 
+// Same reports whether two documents are the same but for white space.
+func Same(a, b []byte) bool {
+	var compactA, compactB bytes.Buffer
+	if json.Compact(&compactA, a) != nil || json.Compact(&compactB, b) != nil {
+		return false
+	}
+	return bytes.Equal(compactA.Bytes(), compactB.Bytes())
+}
+
 // Depth returns how deeply arrays and objects are nested in a value; 0 for a scalar.
 func Depth(value []byte) int {
 	s := &scanner{text: value}
--- a/platform/connections.go
+++ b/internal/netdial/tracker.go
@@ -1,4 +1,4 @@
-package platform
+package netdial
 
 import (
 	"net"
@@ -14,9 +14,9 @@
 	keepAliveCount    = 3
 )
 
-// connTracker opens connections to the store and tracks them, so that all of them can be
+// Tracker opens connections and tracks them, so that all of them can be
 // closed at once. The zero value is ready for use. It is safe for concurrent use.
-type connTracker struct {
+type Tracker struct {
 	mu   sync.Mutex
 	open map[*trackedConn]struct{}
 }
@@ -24,7 +24,7 @@
 // trackedConn is a connection that its tracker can close.
 type trackedConn struct {
 	net.Conn
-	tracker *connTracker
+	tracker *Tracker
 }
 
 // Close implements net.Conn.
@@ -35,10 +35,10 @@
 	return c.Conn.Close()
 }
 
-// dial opens and tracks a connection.
-func (c *connTracker) dial(address string) (net.Conn, error) {
+// Dial opens and tracks a connection to address ("ip:port"). It fails after timeout.
+func (c *Tracker) Dial(address string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveIdle,
@@ -60,8 +60,8 @@
 	return tracked, nil
 }
 
-// closeAll closes every tracked connection.
-func (c *connTracker) closeAll() {
+// CloseAll closes every tracked connection.
+func (c *Tracker) CloseAll() {
 	c.mu.Lock()
 	open := c.open
 	c.open = nil
--- a/platform/wholenumber.go
+++ b/internal/strictjson/wholenumber.go
@@ -1,4 +1,4 @@
-package platform
+package strictjson
 
 import (
 	"fmt"
@@ -6,27 +6,27 @@
 	"strconv"
 )
 
-// wholeNumber is a whole number in a JSON document. JSON doesn't tell whole numbers from
+// WholeNumber is a whole number in a JSON document. JSON doesn't tell whole numbers from
 // others, so 2, 2.0 and 20e-1 are the same. Numbers beyond the range of int become the
 // nearest int.
-type wholeNumber int
+type WholeNumber int
 
 // WholeNumberError reports a value that is not a whole number.
 type WholeNumberError struct{ Text string }
 
 // Error implements error.
 func (e *WholeNumberError) Error() string {
-	return Error.Wrap(fmt.Errorf("%.40s is not a whole number", e.Text)).Error()
+	return fmt.Sprintf("strictjson: %.40s is not a whole number", e.Text)
 }
 
 // UnmarshalJSON implements json.Unmarshaler. A null leaves the number unchanged.
-func (n *wholeNumber) UnmarshalJSON(data []byte) error {
+func (n *WholeNumber) UnmarshalJSON(data []byte) error {
 	text := string(data)
 	if text == "null" {
 		return nil
 	}
 	if number, err := strconv.Atoi(text); err == nil {
-		*n = wholeNumber(number)
+		*n = WholeNumber(number)
 		return nil
 	}
 	number, err := strconv.ParseFloat(text, 64)
@@ -37,12 +37,12 @@
 	return nil
 }
 
-func nearestInt(number float64) wholeNumber {
+func nearestInt(number float64) WholeNumber {
 	switch {
 	case number >= math.MaxInt:
 		return math.MaxInt
 	case number <= math.MinInt:
 		return math.MinInt
 	}
-	return wholeNumber(number)
+	return WholeNumber(number)
 }
