List at other daemons when they are past a restore and the store is silent

A daemon that the external store turns away watches at other daemons. Once these have noticed a restore, they no longer have changes after its position. It then watched at the external store, which is known not to answer: the watch fails and the daemon waits up to 10 s for the store's recovery, or it hangs for up to 26.5 s if the store is silent. Only then it listed at the other daemons. Now it lists there at once.

TestDaemonTurnedAwayListsAtItsSourceThatHasARestoredStore failed before with "external store is down" in place of ErrHistoryGone.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -175,15 +176,18 @@
 	return false
 }
 
-// watchPeers watches a kind at the first daemon that can be followed.
+// watchPeers watches a kind at the first daemon that can be followed. If there is none, the error
+// is ErrHistoryGone if a daemon no longer has the changes, so that it can be listed at.
 func (s *Store) watchPeers(kind string, after feed.Position) ([]feed.Event, feed.Position, error) {
 	err := ErrUnavailable
 	for _, source := range s.options.Sources() {
-		var events []feed.Event
-		var next feed.Position
-		if events, next, err = s.watchFrom(source, kind, after); err == nil {
+		events, next, sourceErr := s.watchFrom(source, kind, after)
+		if sourceErr == nil {
 			return events, next, nil
 		}
+		if !errors.Is(err, feed.ErrHistoryGone) {
+			err = sourceErr
+		}
 	}
 	return nil, feed.Position{}, err
 }
@@ -209,8 +213,9 @@
 }
 
 // Watch implements feed.Store. A daemon that prefers to read from others, or for which the
-// external store is unavailable, watches at other daemons first. If that fails, for example
-// because they no longer have changes that are as old, it watches at the external store.
+// external store is unavailable, watches at other daemons first. If that fails, it watches at the
+// external store, unless that is unavailable and the other daemons have to be listed at, because
+// they no longer have changes that are as old.
 func (s *Store) Watch(kind string, after feed.Position, wait time.Duration, stale bool) ([]feed.Event, feed.Position, error) {
 	local := s.replicas[kind]
 	if local == nil {
@@ -218,10 +223,14 @@
 	}
 	if s.options.StoreUnavailable() || s.readsFromPeers(local) {
 		local.setDirect(false)
-		if events, next, err := s.watchPeers(kind, after); err == nil {
+		events, next, err := s.watchPeers(kind, after)
+		if err == nil {
 			local.apply(events, next)
 			return events, next, nil
 		}
+		if errors.Is(err, feed.ErrHistoryGone) && s.options.StoreUnavailable() {
+			return nil, feed.Position{}, err
+		}
 	}
 	events, next, err := s.options.Store.Watch(kind, after, wait, stale)
 	if err != nil {
--- a/internal/relay/restored_test.go
+++ b/internal/relay/restored_test.go
@@ -115,3 +115,30 @@
 	require.NoError(t, err)
 	require.Equal(t, position, next)
 }
+
+// The external store turns the daemon away, so that a watch there fails or hangs until it times
+// out.
+func TestDaemonTurnedAwayListsAtItsSourceThatHasARestoredStore(t *testing.T) {
+	z := zone{}
+	reader := z.add("reader", true)
+	reader.direct = true
+	outdated := z.add("outdated", true)
+	turnedAway := z.add("turned away", true, "reader", "outdated")
+	for _, d := range z {
+		d.external.objects, d.external.revision = []feed.Object{object("lost", `1`)}, 9
+		d.list(t)
+	}
+	outdated.away = true
+	turnedAway.external.down, turnedAway.away = true, true
+	reader.external.restore(5, object("new", `1`))
+	reader.list(t)
+
+	calls := turnedAway.external.calls
+	_, _, err := turnedAway.store.Watch(kind, at(9), time.Second, true)
+	require.ErrorIs(t, err, feed.ErrHistoryGone)
+	require.Equal(t, calls, turnedAway.external.calls, "the external store is known not to answer")
+	objects, position, err := turnedAway.store.List(kind, false)
+	require.NoError(t, err)
+	require.Equal(t, restored(5), position)
+	require.Equal(t, []feed.Object{object("new", `1`)}, objects)
+}
