Don't let a write that is made again undo a later one

After a restore, the daemon makes its last writes again. A write that the daemon made while this call was in progress could be executed before it, so that the older one stayed: the registration of a daemon that has just deregistered, for example. Now the later write is made again, too.

TestRewriteDoesNotUndoALaterWrite failed before: the object was "registered" in the end, not deleted.

--- a/internal/feed/rewrites.go
+++ b/internal/feed/rewrites.go
@@ -55,11 +55,18 @@
 	return maps.Clone(l.writes)
 }
 
-// isLast reports whether no later write to the object has been made.
-func (l *WriteLog) isLast(key ObjectKey, w write) bool {
+// last returns the last write to an object, or false if it isn't remembered.
+func (l *WriteLog) last(key ObjectKey) (write, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.writes[key].at.Equal(w.at)
+	w, ok := l.writes[key]
+	return w, ok
+}
+
+// isLast reports whether no later write to the object has been made.
+func (l *WriteLog) isLast(key ObjectKey, w write) bool {
+	last, ok := l.last(key)
+	return ok && last.at.Equal(w.at)
 }
 
 // Rewriter makes the writes of a log again after a restore of the store.
@@ -81,7 +88,9 @@
 	}
 }
 
-// rewriteObject makes one write again, unless a later one or a further restore takes its place.
+// rewriteObject makes one write again, unless a later one or a further restore takes its place. A
+// later write that is made at the same time is made again, too, since the store may execute the
+// two in either order.
 func (r *Rewriter) rewriteObject(epoch uint64, key ObjectKey, w write) {
 	log := r.Log.WithField("kind", key.Kind).WithField("object", key.Name).WithField("epoch", epoch)
 	for range rewriteAttempts {
@@ -89,6 +98,10 @@
 			return
 		}
 		err := r.Apply(key, w.spec)
+		if later, ok := r.Writes.last(key); ok && !later.at.Equal(w.at) {
+			w = later
+			continue
+		}
 		if err == nil {
 			log.Info("object written again after a restore of the store")
 			return
