Keep missing targets for 2 s after a second restore, too

Targets that are missing after a restore are kept for 2 s, so that they can register again. If the store was restored a second time meanwhile, the time still counted from the first one, and targets that run were removed before they could register again.

TestTargetMissingAfterTwoRestoresIsKeptForAWhileAfterTheSecond failed before: the target was removed 1 s after the second restore.

--- a/internal/feed/targets.go
+++ b/internal/feed/targets.go
@@ -66,10 +66,14 @@
 	for _, object := range objects {
 		m.put(object)
 	}
+	if gap == Restore {
+		// Targets that were missing before have to register again, too.
+		m.keepMissing(previous)
+	}
 	for name, until := range missing {
 		m.keepUntil(name, previous[name], until)
 	}
-	if gap != NoGap {
+	if gap == Outage {
 		m.keepMissing(previous)
 	}
 	for name, target := range previous {
--- a/internal/feed/targets_test.go
+++ b/internal/feed/targets_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -151,3 +152,18 @@
 	m.Reset([]Object{ready}, Restore)
 	require.True(t, <-usable, "it was in use before the restore")
 }
+
+// The targets have two seconds from the return of the store to register again, also if that is
+// a second one.
+func TestTargetMissingAfterTwoRestoresIsKeptForAWhileAfterTheSecond(t *testing.T) {
+	m, usable := newIncarnationMirror()
+	m.Reset([]Object{incarnation(1, "ready")}, NoGap)
+	require.True(t, <-usable)
+	m.Reset(nil, Restore)
+	require.True(t, <-usable)
+	time.Sleep(reappearanceTime / 2)
+	m.Reset(nil, Restore)
+	require.True(t, <-usable)
+	require.True(t, <-usable, "the time after the first restore is over")
+	require.False(t, <-usable)
+}
