Use lapsed targets again that a restored store doesn't list

A restore bars all targets that were removed in the 10 min before it, until another incarnation registers. A target whose registration had lapsed though it runs, and that registered again after the restore, stayed unused for ever, also if the restored store didn't list it, so that its registration was written since. The bar was only lifted by an event of the removal in the new history, not by a list without the target. Now a list lifts it, except for targets that have reported draining.

Failed before, the target was not used: TestTargetThatLapsedBeforeTheCopyAndRegistersAgainAfterRestoreIsUsed and TestTargetThatLapsedUnseenAfterRestoreAndRegistersAgainIsUsed. TestTargetThatDrainedStaysUnusedWhenItsLostWritesAreRepeated guards the exception; it passed before, too.

--- a/internal/feed/departures.go
+++ b/internal/feed/departures.go
@@ -15,6 +15,9 @@
 type departure struct {
 	incarnation int64
 	at          time.Time
+	// draining is set if the target said that it is leaving. Otherwise its registration may
+	// have lapsed although it runs.
+	draining bool
 }
 
 // departures remembers targets that were draining or removed. A restored store lists them as
@@ -33,7 +36,7 @@
 
 // record records that an incarnation of a target is draining or was removed.
 func (d *departures) record(now time.Time, info placement.TargetInfo) {
-	d.departed[info.ID] = departure{incarnation: info.Incarnation, at: now}
+	d.departed[info.ID] = departure{incarnation: info.Incarnation, at: now, draining: info.Draining}
 }
 
 // restore bars all departed targets, and forgets those that departed long ago.
@@ -44,6 +47,15 @@
 	d.barred = maps.Clone(d.departed)
 }
 
+// liftUnlisted lifts the bars of targets whose registrations may have lapsed and that a list of the
+// current history doesn't contain: later objects of the same names were written since.
+func (d *departures) liftUnlisted(listed map[string]listedTarget) {
+	maps.DeleteFunc(d.barred, func(name string, left departure) bool {
+		_, ok := listed[name]
+		return !ok && !left.draining
+	})
+}
+
 // forget lifts the bar of a target whose object was removed in the current history: a later
 // object of the same name was written since.
 func (d *departures) forget(name string) { delete(d.barred, name) }
--- a/internal/feed/targets.go
+++ b/internal/feed/targets.go
@@ -66,6 +66,7 @@
 	for _, object := range objects {
 		m.put(object)
 	}
+	m.departures.liftUnlisted(m.targets)
 	if gap == Restore {
 		// Targets that were missing before have to register again, too.
 		m.keepMissing(previous)
--- a/internal/feed/targets_test.go
+++ b/internal/feed/targets_test.go
@@ -167,3 +167,56 @@
 	require.True(t, <-usable, "the time after the first restore is over")
 	require.False(t, <-usable)
 }
+
+// The target was cut off from the store, whose copy was made after its registration had lapsed.
+func TestTargetThatLapsedBeforeTheCopyAndRegistersAgainAfterRestoreIsUsed(t *testing.T) {
+	ready := incarnation(1, "ready")
+	m, usable := newIncarnationMirror()
+	m.Reset([]Object{ready}, NoGap)
+	require.True(t, <-usable)
+	m.Apply([]Event{{Object: ready, Deleted: true}})
+	require.False(t, <-usable)
+	m.Reset(nil, Restore)
+	require.False(t, <-usable)
+	m.Apply([]Event{{Object: ready}})
+	require.True(t, <-usable)
+}
+
+// The restored store lists the target, but no longer after a break of the feed.
+func TestTargetThatLapsedUnseenAfterRestoreAndRegistersAgainIsUsed(t *testing.T) {
+	for _, gap := range []Gap{NoGap, Outage} {
+		ready := incarnation(1, "ready")
+		m, usable := newIncarnationMirror()
+		m.Reset([]Object{ready}, NoGap)
+		require.True(t, <-usable)
+		m.Apply([]Event{{Object: ready, Deleted: true}})
+		require.False(t, <-usable)
+		m.Reset([]Object{ready}, Restore)
+		require.False(t, <-usable)
+		m.Reset(nil, gap)
+		require.False(t, <-usable)
+		m.Apply([]Event{{Object: ready}})
+		require.True(t, <-usable)
+	}
+}
+
+// The target joined and reported draining after the copy was made.
+func TestTargetThatDrainedStaysUnusedWhenItsLostWritesAreRepeated(t *testing.T) {
+	for _, then := range []string{"still listed", "removed"} {
+		t.Run(then, func(t *testing.T) {
+			m, usable := newIncarnationMirror()
+			m.Reset([]Object{incarnation(1, "draining")}, NoGap)
+			require.False(t, <-usable)
+			if then == "removed" {
+				m.Apply([]Event{{Object: incarnation(1, "draining"), Deleted: true}})
+				require.False(t, <-usable)
+			}
+			m.Reset(nil, Restore)
+			require.False(t, <-usable)
+			m.Reset(nil, NoGap)
+			require.False(t, <-usable)
+			m.Apply([]Event{{Object: incarnation(1, "ready")}})
+			require.False(t, <-usable)
+		})
+	}
+}
