Ask further daemons for the newest configuration if the first are dead

A starting daemon asks three registered daemons for a newer configuration, always the first ones of its zone by name. Daemons that have crashed stay registered, and a restore brings back those that have deregistered, so that all three could be dead; the daemon then started with the older configuration that the restored store holds. Now it asks up to three times three until one responds, 0.5 s each at most.

TestStartingDaemonAsksOthersForTheConfigurationIfTheFirstOnesAreDead failed before: the daemon served by the older configuration.

--- a/internal/gatewayd/newestconfig.go
+++ b/internal/gatewayd/newestconfig.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/feed"
@@ -14,9 +15,11 @@
 
 const (
 	// maxConfigPeers is the maximum number of daemons that a starting daemon asks for their
-	// configuration.
-	maxConfigPeers = 3
-	// configPeersTimeout bounds the wait for their responses.
+	// configuration at a time, and maxConfigRounds how often it asks others if none of them
+	// responds.
+	maxConfigPeers  = 3
+	maxConfigRounds = 3
+	// configPeersTimeout bounds the wait for the responses of a round.
 	configPeersTimeout = 500 * time.Millisecond
 )
 
@@ -49,11 +52,28 @@
 	slices.SortStableFunc(others, func(a, b heartbeat.Member) int {
 		return p.distance(a) - p.distance(b)
 	})
+	for range maxConfigRounds {
+		asked := others[:min(len(others), maxConfigPeers)]
+		if len(asked) == 0 || p.askEach(asked) {
+			return
+		}
+		others = others[len(asked):]
+	}
+}
+
+// askEach asks daemons at the same time. It returns false if none of them responds.
+func (p *configPeers) askEach(members []heartbeat.Member) bool {
 	var asked sync.WaitGroup
-	for _, member := range others[:min(len(others), maxConfigPeers)] {
-		asked.Go(func() { p.ask(member) })
+	var responded atomic.Bool
+	for _, member := range members {
+		asked.Go(func() {
+			if p.ask(member) {
+				responded.Store(true)
+			}
+		})
 	}
 	asked.Wait()
+	return responded.Load()
 }
 
 // distance is 0 for a daemon of the own zone and 1 for others.
@@ -64,8 +84,9 @@
 	return 1
 }
 
-// ask takes the configuration of a daemon if it is newer.
-func (p *configPeers) ask(member heartbeat.Member) {
+// ask takes the configuration of a daemon if it is newer. It returns false if the daemon doesn't
+// respond.
+func (p *configPeers) ask(member heartbeat.Member) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), configPeersTimeout)
 	defer cancel()
 	_, revision := p.mirror.Newest()
@@ -73,10 +94,11 @@
 	request := peer.NewestConfigRequest{Revision: revision}
 	if err := p.client.Call(ctx, member.PeerAddress, peer.MethodNewestConfig, request, &response); err != nil {
 		p.daemon.log.WithError(err).WithField("peer", member.Name).Info("failed to ask another daemon for its configuration")
-		return
+		return false
 	}
 	if len(response.Spec) > 0 {
 		p.daemon.log.WithField("peer", member.Name).Info("configuration received from another daemon")
 		p.mirror.Offer(response.Spec)
 	}
+	return true
 }
