--- a/internal/callerserver/close.go
+++ b/internal/callerserver/close.go
@@ -60,7 +60,7 @@
 	s.inFlight.Add(-1)
 	exchange := state.exchange
 	state.exchange = nil
-	if exchange.closeAfter {
+	if exchange.closeAfter.Load() {
 		s.dropQueued(state)
 		state.phase.Store(phaseIdle)
 		return s.closeGracefully(conn, state)
--- a/internal/callerserver/exchange.go
+++ b/internal/callerserver/exchange.go
@@ -28,7 +28,7 @@
 	state   *connState
 	replied atomic.Bool
 	// closeAfter is set if the connection is closed after the response.
-	closeAfter bool
+	closeAfter atomic.Bool
 	// concurrent is set if other requests of the connection may run at the same time.
 	concurrent bool
 	// dropped is set if the connection ends before the response can be sent.
@@ -113,7 +113,7 @@
 func (e *Exchange) serialize(response *fasthttp.Response) *bytebufferpool.ByteBuffer {
 	e.observe(response)
 	if e.closesConnection() {
-		e.closeAfter = true
+		e.closeAfter.Store(true)
 		response.SetConnectionClose()
 	}
 	buffer := bytebufferpool.Get()
@@ -124,5 +124,5 @@
 // closesConnection reports whether the connection is closed after the response. While the
 // server drains, this is so for a response behind which no exchange is queued.
 func (e *Exchange) closesConnection() bool {
-	return e.closeAfter || e.server.draining.Load() && !e.state.pipelined.Load()
+	return e.closeAfter.Load() || e.server.draining.Load() && !e.state.pipelined.Load()
 }
--- a/internal/callerserver/pipeline_test.go
+++ b/internal/callerserver/pipeline_test.go
@@ -62,7 +62,7 @@
 	response := &fasthttp.Response{}
 	response.SetBodyString(path)
 	if closing {
-		exchange.closeAfter = true
+		exchange.closeAfter.Store(true)
 	}
 	exchange.Reply(response)
 }
--- a/internal/callerserver/requests.go
+++ b/internal/callerserver/requests.go
@@ -94,7 +94,7 @@
 // mayReadAhead reports whether the next request may be read before the previous ones are
 // answered.
 func (s *Server) mayReadAhead(state *connState) bool {
-	if state.blocked || state.discarding || !state.exchange.concurrent || state.exchange.closeAfter || s.draining.Load() {
+	if state.blocked || state.discarding || !state.exchange.concurrent || state.exchange.closeAfter.Load() || s.draining.Load() {
 		return false
 	}
 	return len(state.queued)+1 < s.limits.Load().PipelineDepth
@@ -120,7 +120,7 @@
 	if limits.exceededBy(state.discarded / maxDiscardedRequests) {
 		return gnet.Close
 	}
-	if state.phase.Load() == phaseFlushing && state.exchange.closeAfter {
+	if state.phase.Load() == phaseFlushing && state.exchange.closeAfter.Load() {
 		_, _ = conn.Discard(-1)
 	}
 	return gnet.None
@@ -150,9 +150,9 @@
 		conn:       conn,
 		loop:       conn.EventLoop(),
 		state:      state,
-		closeAfter: request.Header.ConnectionClose(),
 		concurrent: concurrent,
 	}
+	exchange.closeAfter.Store(request.Header.ConnectionClose())
 	if state.exchange == nil {
 		state.phase.Store(phaseServing)
 		state.waitingSince.Clear()
