--- a/review/5/main.go
+++ b/review/5/main.go
@@ -1,24 +1,26 @@
 //go:build review
 
-// Command 5 sends HEAD requests, each followed by a GET request on the same connection, while the
-// servers turn requests away.
+// Command 5 moves a route to another service while calls of the store with staleRead return data
+// that is some seconds old.
 package main
 
 import (
-	"bytes"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/review/stand"
 )
 
 const (
-	// turnedAway is the share of requests that the servers turn away.
-	turnedAway = 0.55
-	pairs      = 60
+	// staleBy is how old the data of stale reads is.
+	staleBy = 5 * time.Second
+	// configApply is configApplyS of the site.
+	configApply = 2 * time.Second
+
+	requesters = 4
 )
 
 func main() { stand.Main(run) }
@@ -28,66 +30,64 @@
 	if err != nil {
 		return false, err
 	}
-	servers, err := c.Servers(store, "inventory", 3, 20*time.Millisecond)
+	old, err := c.Servers(store, "bookings-old", 3, 160*time.Millisecond)
 	if err != nil {
 		return false, err
 	}
+	if _, err := c.Servers(store, "bookings", 3, 160*time.Millisecond); err != nil {
+		return false, err
+	}
+	configure := func(version int, service string) {
+		store.Put("config", "main", stand.Config(version, []any{
+			stand.Route("book-hire", "/book/", stand.NonIdempotent, service, 3, 0.4),
+		}, "bookings-old", "bookings"))
+	}
+	configure(1, "bookings-old")
 	if c.Disturb {
-		for _, s := range servers {
-			s.TurnsAway = func() bool { return rand.Float64() < turnedAway }
-		}
+		store.SetStaleBy(staleBy)
 	}
-	store.Put("config", "main", stand.Config(1, []any{
-		stand.Route("stock-check", "/stock/", "idempotent", "inventory", 2.5, 0.3),
-	}, "inventory"))
+	// Everything that was written is older than stale reads are behind.
+	time.Sleep(staleBy + time.Second)
 	g, err := c.Gateway(store, "edge-1")
 	if err != nil {
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
 
-	strays := 0
-	for i := range pairs {
-		stray, err := pair(c, g, i)
-		if err != nil {
-			return false, err
-		}
-		if stray {
-			strays++
-		}
-		time.Sleep(30 * time.Millisecond)
+	var stop atomic.Bool
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	sent := map[string]time.Time{}
+	for n := range requesters {
+		wait.Go(func() {
+			conn, err := c.Dial(g)
+			for i := 0; err == nil && !stop.Load(); i++ {
+				id := fmt.Sprintf("r%d-%d", n, i)
+				mu.Lock()
+				sent[id] = time.Now()
+				mu.Unlock()
+				err = conn.Do(http.MethodPost, "/book/x", id, 3*time.Second, "a booking").Err
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
 	}
-	c.Line("in %d of %d pairs, bytes that are no answer followed the answer to HEAD", strays, pairs)
-	return strays > 0, nil
-}
+	time.Sleep(time.Second)
+	configure(2, "bookings")
+	confirmed := time.Now()
+	c.Line("the store has confirmed r2, which moves the route to the service bookings")
+	time.Sleep(staleBy + 3*time.Second)
+	stop.Store(true)
+	wait.Wait()
 
-// pair sends HEAD and, once that is answered, GET. It returns whether other bytes than an answer
-// came after the answer to HEAD.
-func pair(c *stand.Case, g *stand.Gateway, i int) (stray bool, err error) {
-	conn, err := c.Dial(g)
-	if err != nil {
-		return false, err
-	}
-	defer func() { _ = conn.Close() }()
-	head := conn.Do(http.MethodHead, "/stock/x", fmt.Sprintf("head-%d", i), 2500*time.Millisecond, "")
-	if head.Err != nil {
-		return false, head.Err
-	}
-	get := fmt.Sprintf("get-%d", i)
-	c.Line("sent %s", get)
-	if _, err := io.WriteString(conn, stand.Head(http.MethodGet, "/stock/x", get, 2500*time.Millisecond)); err != nil {
-		return false, err
-	}
-	const start = "HTTP/1.1 "
-	next, err := conn.Reader.Peek(len(start))
-	if err != nil {
-		return false, err
-	}
-	if !bytes.Equal(next, []byte(start)) {
-		rest, _ := conn.Reader.Peek(conn.Reader.Buffered())
-		c.Line("stray bytes after the answer to head-%d (status %d): %q", i, head.Status, rest[:min(len(rest), 60)])
-		return true, nil
+	wrong := 0
+	for _, s := range old {
+		for _, run := range s.Runs() {
+			if after := sent[run.ID].Sub(confirmed); after > configApply {
+				wrong++
+				c.Line("%s was sent %.3f s after the confirmation and run by the old service", run.ID, after.Seconds())
+			}
+		}
 	}
-	c.Line("answered %s", conn.Read(http.MethodGet, get))
-	return false, nil
+	c.Line("%d requests that were sent later than %v after the confirmation were run by the old service", wrong, configApply)
+	return wrong > 0, nil
 }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -46,7 +46,10 @@
 	// StaleBy is how old the data of calls with staleRead is.
 	StaleBy time.Duration
 
-	server   *http.Server
+	server *http.Server
+	// pinged receives the time of each read of a single object, as which gateways ping.
+	pinged   chan time.Time
+	silent   bool
 	mu       sync.Mutex
 	revision uint64
 	objects  map[string]map[string]object
@@ -60,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{Address: listener.Addr().String(), revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	s := &Store{Address: listener.Addr().String(), revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), pinged: make(chan time.Time, 1)}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -124,6 +127,33 @@
 	s.changed = make(chan struct{})
 }
 
+// SetSilent sets whether answers are lost from now on. A connection on which one is lost returns
+// nothing further. Put and Delete, which stand for the operator and the servers, are served.
+func (s *Store) SetSilent(silent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = silent
+}
+
+// loseIfSilent holds a call until its caller gives up, if the store is silent.
+func (s *Store) loseIfSilent(r *http.Request) {
+	s.mu.Lock()
+	silent := s.silent
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+	}
+}
+
+// AwaitPing waits for the next read of a single object.
+func (s *Store) AwaitPing() {
+	select {
+	case <-s.pinged:
+	default:
+	}
+	<-s.pinged
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path, ok := strings.CutPrefix(r.URL.Path, objectsPath)
@@ -133,12 +163,19 @@
 	}
 	kind, name, _ := strings.Cut(path, "/")
 	name = strings.TrimSuffix(name, "/status")
+	if !r.URL.Query().Has("watch") {
+		s.loseIfSilent(r)
+	}
 	switch {
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
 	case r.Method == http.MethodGet && name == "":
 		s.list(w, r, kind)
 	case r.Method == http.MethodGet:
+		select {
+		case s.pinged <- time.Now():
+		default:
+		}
 		objects, _ := s.seen(kind, r)
 		o, found := objects[name]
 		if !found {
@@ -196,6 +233,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
+			s.loseIfSilent(r)
 			reply(w, http.StatusOK, map[string]any{"events": events, keyRevision: at})
 			return
 		}
@@ -203,6 +241,7 @@
 		case <-changed:
 		case <-time.After(due):
 		case <-limit:
+			s.loseIfSilent(r)
 			reply(w, http.StatusOK, map[string]any{"events": events, keyRevision: at})
 			return
 		case <-r.Context().Done():
