--- a/review/1/main.go
+++ b/review/1/main.go
@@ -53,6 +53,7 @@
 			head := fmt.Sprintf("HTTP/1.1 200 OK\r\n"+stand.RequestID+": %s\r\n"+stand.Signature+": s.%s.%s\r\n%sConnection: close\r\n\r\n",
 				r.ID, s.ID, r.ID, s.LoadFields())
 			if i >= faulty || !inEpisode.Load() || rand.Float64() >= brokenOff {
+				c.Line("ran %s at %s, whole answer", r.ID, s.ID)
 				_, _ = io.WriteString(conn, head+body)
 				return false
 			}
@@ -85,6 +86,7 @@
 			conn, err := c.Dial(g)
 			for i := 0; err == nil && !stop.Load(); i++ {
 				id := fmt.Sprintf("r%d-%d", n, i)
+				c.Line("sent %s", id)
 				answer := conn.DoQuietly(http.MethodGet, "/stock/x", id, 2500*time.Millisecond, "")
 				err = answer.Err
 				c.Line("answered %s: %d, %d bytes, %v", id, answer.Status, len(answer.Body), answer.Err)
--- a/review/stand/case.go
+++ b/review/stand/case.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -61,6 +62,9 @@
 	for i := len(c.closers) - 1; i >= 0; i-- {
 		c.closers[i]()
 	}
+	if err == nil && c.served.Load() == 0 {
+		err = errors.New("no request was served")
+	}
 	switch {
 	case err != nil:
 		c.Line("the case could not run: %v", err)
@@ -191,7 +195,11 @@
 	if _, err := io.WriteString(c, Head(method, path, id, deadline, fields...)+body); err != nil {
 		return Answer{ID: id, Err: err}
 	}
-	return c.Read(method, id)
+	answer := c.Read(method, id)
+	if answer.Err == nil && answer.Status == http.StatusOK {
+		c.record.served.Add(1)
+	}
+	return answer
 }
 
 // Read reads an answer.
--- a/review/stand/record.go
+++ b/review/stand/record.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,6 +17,8 @@
 	file  *os.File
 	out   *bufio.Writer
 	began time.Time
+	// served is the number of requests that were answered with 200.
+	served atomic.Int64
 }
 
 // NewRecord creates a record.
