--- a/internal/targetclient/conn.go
+++ b/internal/targetclient/conn.go
@@ -179,7 +179,7 @@
 // closeDelimitedResponse returns the response that ended with its connection, or nil if it
 // may be truncated.
 func (c *targetConn) closeDelimitedResponse(cause error) *fasthttp.Response {
-	if !errors.Is(cause, io.EOF) {
+	if !errors.Is(cause, io.EOF) || !c.receiver.closeDelimited || !c.endedByTarget() {
 		return nil
 	}
 	response := c.receiver.finishAtClose()
@@ -259,7 +259,22 @@
 	if c.conn.InboundBuffered() > 0 || time.Since(c.idleSince) > c.idleTimeout {
 		return false
 	}
-	var probe [1]byte
-	_, _, err := syscall.Recvfrom(c.conn.Fd(), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	_, err := c.peekSocket()
 	return errors.Is(err, syscall.EAGAIN)
 }
+
+// endedByTarget reports whether the target has closed its side of the connection in order and all
+// that it sent was read. The event loop also reports an end when it has seen an error of the
+// connection that it hasn't read, such as a reset, so the socket decides.
+func (c *targetConn) endedByTarget() bool {
+	n, err := c.peekSocket()
+	return n == 0 && err == nil
+}
+
+// peekSocket tells what the next read of the socket returns: a size above 0 if there are unread
+// bytes, 0 without an error if the peer has closed its side, EAGAIN if neither.
+func (c *targetConn) peekSocket() (int, error) {
+	var probe [1]byte
+	n, _, err := syscall.Recvfrom(c.conn.Fd(), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
