--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -2,8 +2,8 @@
 // across outages of the store.
 //
 // A Follower lists the objects of one kind, watches for changes and applies both to a
-// Mirror: TargetMirror or ConfigMirror. A Monitor pings the store to detect outages,
-// because a watch that hangs can't be told from one without changes.
+// Mirror: TargetMirror or ConfigMirror. A Monitor pings the store to detect outages. A watch
+// that hangs can't be told from one without changes; package relay bounds how long it is believed.
 package feed
 
 import (
@@ -45,6 +45,8 @@
 	// Spec is the content as stored, not decoded. It is empty if it is no valid JSON or too
 	// large.
 	Spec []byte
+	// Revision is that of the last change of the object, 0 if the store doesn't tell it.
+	Revision uint64
 }
 
 // Event is the creation, change or deletion of an object.
@@ -67,6 +69,9 @@
 	Ping() error
 	// Abort cancels all calls in progress, including watches.
 	Abort()
+	// AbortWatches cancels the watches of a kind. Later calls use none of the connections that
+	// have been idle or that the watches used.
+	AbortWatches(kind string)
 	// Epoch returns the number of the store's history, which rises when the store is
 	// restored from an older copy. It is 0 until the store has named one.
 	Epoch() uint64
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -101,6 +101,9 @@
 // Abort implements Store.
 func (s *fakeStore) Abort() {}
 
+// AbortWatches implements Store.
+func (s *fakeStore) AbortWatches(string) {}
+
 // Epoch implements Store.
 func (s *fakeStore) Epoch() uint64 { return 1 }
 
--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -17,9 +17,8 @@
 	longOutagePingInterval = 1500 * time.Millisecond
 )
 
-// Monitor detects outages of the store by pings. A watch that has been hanging since an
-// outage can't be told from one without changes, so the monitor aborts all calls when the
-// store responds again; they are then made anew.
+// Monitor detects outages of the store by pings. The monitor aborts all calls when the store
+// responds again, since they may hang; they are then made anew.
 type Monitor struct {
 	store Store
 	// needed reports whether callers depend on the data that this daemon reads.
--- a/internal/gatewayd/admin.go
+++ b/internal/gatewayd/admin.go
@@ -41,6 +41,8 @@
 	// StoreEpoch is the number of the history of the platform's store. It rises when the
 	// store is restored from an older copy.
 	StoreEpoch uint64 `json:"store_epoch"`
+	// Feeds tell the last change and the age of what is known of the store.
+	Feeds []heartbeat.FeedReport `json:"feeds"`
 	// AdvertisedAddresses are the advertised entry VMs: those of other zones while no daemon of the local
 	// zone serves.
 	AdvertisedAddresses []string           `json:"named"`
@@ -65,6 +67,7 @@
 		InFlight:            d.server.InFlight(),
 		PlatformUnavailable: d.monitor.Unavailable(),
 		StoreEpoch:          d.platform.Feeds().Store.Epoch(),
+		Feeds:               d.feeds.Reports(),
 		AdvertisedAddresses: d.node.AdvertisedAddresses(),
 		Members:             d.node.Members(),
 		Suspects:            d.quarantine.Suspects(time.Now()),
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
 	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
+	"github.com/poplarwheel/poplarwheel/internal/relay"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -68,6 +69,7 @@
 	started  time.Time
 	node     *heartbeat.Node
 	monitor  *feed.Monitor
+	feeds    *relay.Store
 	gateway  *gateway.Gateway
 	server   *callerserver.Server
 	// closers are the listeners and servers to close on exit.
--- a/internal/gatewayd/feeds.go
+++ b/internal/gatewayd/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
@@ -23,8 +24,12 @@
 		Kinds:            []relay.Kind{{Name: feeds.ConfigKind}, {Name: feeds.TargetsKind, PreferPeers: true}},
 		Sources:          d.node.Sources,
 		ReadsDirectly:    d.node.Active,
+		IsReader:         d.isReader,
 		StoreUnavailable: d.monitor.Unavailable,
+		Log:              d.log,
 	})
+	d.feeds = store
+	d.node.SetFeeds(store)
 	d.monitor.OnLost(store.MarkUnavailable)
 	config := &feed.ConfigMirror{Name: feeds.ConfigName, Decode: d.countRejected(feeds.DecodeConfig), OnChange: d.configure, Log: d.log}
 	d.configPeers = &configPeers{daemon: d, mirror: config, client: client}
@@ -38,6 +43,13 @@
 	return nil
 }
 
+// discoveryTime is how long a starting daemon may not know those that rank before it.
+const discoveryTime = 2 * time.Second
+
+// isReader reports whether this daemon reads the store often, to show the others of the zone how
+// current they are.
+func (d *Daemon) isReader() bool { return time.Since(d.started) > discoveryTime && d.node.IsFirst() }
+
 // servePeers starts to serve requests of other daemons.
 func (d *Daemon) servePeers(store *relay.Store, client *peer.Client) error {
 	listener, err := net.Listen("tcp4", d.settings.PeerAddress)
--- a/internal/gatewayd/metrics.go
+++ b/internal/gatewayd/metrics.go
@@ -32,6 +32,7 @@
 	revisionDesc            = newDesc("revision", "Revision of the configuration in force.")
 	platformUnavailableDesc = newDesc("platform_away", "1 while the platform doesn't answer.")
 	storeEpochDesc          = newDesc("store_epoch", "Number of the history of the platform's store; it rises when the store is restored from an older copy.")
+	feedAgeDesc             = newDesc("feed_age_seconds", "Time since the daemon was last shown to know all changes, by kind of objects.", "kind")
 	violationsDesc          = newDesc("invariant_breaches_total", "Breaches of what must always hold, by invariant.", "invariant")
 	suspectsDesc            = newDesc("suspects", "Contents of requests at which targets died, by state.", "state")
 	advertisedDesc          = newDesc("named", "Entry VMs that callers of the zone are sent to, of other zones if nobody of it serves.")
@@ -43,7 +44,7 @@
 		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc,
 		probesDesc, queuedDesc, targetsDesc,
 		rejectionsDesc, rejectedConfigsDesc, revisionDesc,
-		platformUnavailableDesc, storeEpochDesc, advertisedDesc,
+		platformUnavailableDesc, storeEpochDesc, feedAgeDesc, advertisedDesc,
 		suspectsDesc, violationsDesc,
 	} {
 		descriptions <- d
@@ -87,6 +88,9 @@
 	}
 	gauge(platformUnavailableDesc, unavailable)
 	gauge(storeEpochDesc, float64(c.daemon.platform.Feeds().Store.Epoch()))
+	for _, report := range c.daemon.feeds.Reports() {
+		gauge(feedAgeDesc, (time.Duration(report.AgeMillis) * time.Millisecond).Seconds(), report.Kind)
+	}
 	c.collectSuspects(gauge)
 	for name, violations := range invariant.Breaches() {
 		counter(violationsDesc, violations, string(name))
--- a/internal/heartbeat/advertised.go
+++ b/internal/heartbeat/advertised.go
@@ -81,6 +81,20 @@
 	return slices.ContainsFunc(advertised, m.isSelf) || slices.ContainsFunc(standby, m.isSelf)
 }
 
+// IsFirst reports whether this daemon ranks first among those of the zone that respond and don't
+// drain, whether they can serve yet or not.
+func (m *Membership) IsFirst(now time.Time) bool {
+	if m.self.State == Draining {
+		return false
+	}
+	for _, known := range m.ranked() {
+		if known.responds(now) {
+			return m.self.compare(known.Member) < 0
+		}
+	}
+	return true
+}
+
 func (m *Membership) isSelf(member Member) bool { return member.Name == m.self.Name }
 
 // ActivePeers returns the peer addresses of the other advertised and standby daemons.
--- a/internal/heartbeat/membership.go
+++ b/internal/heartbeat/membership.go
@@ -203,8 +203,11 @@
 }
 
 // canServe reports whether callers can be sent to a member.
-func (k *record) canServe(now time.Time) bool {
-	if k.State != Ready || k.heardAt.IsZero() {
+func (k *record) canServe(now time.Time) bool { return k.State == Ready && k.responds(now) }
+
+// responds reports whether a member that isn't draining answers pings.
+func (k *record) responds(now time.Time) bool {
+	if k.State == Draining || k.heardAt.IsZero() {
 		return false
 	}
 	return k.unansweredSince.IsZero() || now.Sub(k.unansweredSince) < answerTimeout
--- a/internal/heartbeat/membership_test.go
+++ b/internal/heartbeat/membership_test.go
@@ -33,6 +33,33 @@
 	}
 }
 
+// Exactly one daemon of a zone is the first, also while none can serve yet.
+func TestOneDaemonOfAZoneIsTheFirst(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	firstOf := func(state State, without string) (first []string) {
+		for _, self := range names {
+			membership := NewMembership(member(self, 1, state), 1)
+			for _, other := range names {
+				membership.Learn(start, member(other, 1, state))
+				if other != without {
+					membership.HandleHeartbeat(start, member(other, 1, state))
+				}
+			}
+			if self != without && membership.IsFirst(start) {
+				first = append(first, self)
+			}
+		}
+		return first
+	}
+	first := firstOf(Ready, "")
+	require.Len(t, first, 1)
+	require.Equal(t, first, firstOf(Starting, ""))
+	require.Len(t, firstOf(Draining, ""), 0)
+	next := firstOf(Ready, first[0])
+	require.Len(t, next, 1, "a daemon that doesn't respond isn't the first")
+	require.NotEqual(t, first, next)
+}
+
 func TestOnlyReadyMembersAreAdvertised(t *testing.T) {
 	membership := NewMembership(member("self", 1, Starting), 3)
 	membership.Learn(start, member("listed", 1, Ready))
--- a/internal/heartbeat/node.go
+++ b/internal/heartbeat/node.go
@@ -37,6 +37,8 @@
 	From Member `json:"from"`
 	// Advertised are the addresses that the sender's zone gives to callers.
 	Advertised []string `json:"named,omitempty"`
+	// Feeds tells in pings and pongs what the sender knows of the external store.
+	Feeds []FeedReport `json:"feeds,omitempty"`
 }
 
 // Node exchanges heartbeats with the daemons of the zone and queries other zones. It is safe
@@ -48,6 +50,7 @@
 	mu         sync.Mutex
 	membership *Membership
 	meter      RateMeter
+	feeds      FeedReporter
 }
 
 // Listen starts a node that receives datagrams at the peer address of self. The node
@@ -61,7 +64,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	n := &Node{log: log, conn: conn, membership: NewMembership(self, minAdvertised)}
+	n := &Node{log: log, conn: conn, membership: NewMembership(self, minAdvertised), feeds: noFeeds{}}
 	go n.receive()
 	go n.pingLoop()
 	return n, nil
@@ -124,6 +127,20 @@
 	return n.membership.OtherZonePeers(ofZone, rand.Perm)
 }
 
+// IsFirst reports whether this daemon ranks first among those of the zone that respond.
+func (n *Node) IsFirst() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.membership.IsFirst(time.Now())
+}
+
+// SetFeeds sets the feeds whose reports the heartbeats carry.
+func (n *Node) SetFeeds(feeds FeedReporter) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.feeds = feeds
+}
+
 // Sources returns the peer addresses of daemons that read the store directly, those of other
 // zones if the own zone has none.
 func (n *Node) Sources() []string {
@@ -176,14 +193,7 @@
 	if len(members) == 0 {
 		return true
 	}
-	n.mu.Lock()
-	outgoing := datagram{Kind: kind, From: n.membership.Self()}
-	if kind == kindZoneAnswer {
-		advertised := n.membership.AdvertisedInZone(time.Now())
-		outgoing.Advertised = advertised[:min(len(advertised), maxAdvertised)]
-	}
-	n.mu.Unlock()
-	message, err := json.Marshal(outgoing)
+	message, err := json.Marshal(n.compose(kind))
 	if err != nil {
 		n.log.WithError(err).Error("failed to encode heartbeat")
 		return true
@@ -196,6 +206,22 @@
 	return true
 }
 
+// compose returns a datagram of a kind.
+func (n *Node) compose(kind string) datagram {
+	n.mu.Lock()
+	composed := datagram{Kind: kind, From: n.membership.Self()}
+	if kind == kindZoneAnswer {
+		advertised := n.membership.AdvertisedInZone(time.Now())
+		composed.Advertised = advertised[:min(len(advertised), maxAdvertised)]
+	}
+	feeds := n.feeds
+	n.mu.Unlock()
+	if kind == kindPing || kind == kindPong {
+		composed.Feeds = feeds.Reports()
+	}
+	return composed
+}
+
 // sendTo sends an encoded datagram to a peer address. It returns false if the node is closed.
 func (n *Node) sendTo(message []byte, peer string) bool {
 	address, err := net.ResolveUDPAddr("udp4", peer)
@@ -240,7 +266,9 @@
 	default:
 		n.mu.Lock()
 		n.membership.HandleHeartbeat(time.Now(), message.From)
+		feeds := n.feeds
 		n.mu.Unlock()
+		feeds.HandleReports(message.Feeds)
 		if message.Kind == kindPing {
 			n.send(kindPong, []Member{message.From})
 		}
--- a/internal/peer/feed.go
+++ b/internal/peer/feed.go
@@ -26,6 +26,8 @@
 	// Spec is its content; a removed object has none.
 	Spec    json.RawMessage `json:"spec,omitempty"`
 	Deleted bool            `json:"deleted,omitempty"`
+	// Revision is that of its last change, 0 if that isn't known.
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // FeedObjects are all objects of a kind at a revision of an epoch.
@@ -33,6 +35,8 @@
 	Objects  []FeedObject `json:"objects"`
 	Revision uint64       `json:"revision"`
 	Epoch    uint64       `json:"epoch,omitempty"`
+	// AgeMillis is how long ago the store last showed that there is no later change.
+	AgeMillis int64 `json:"age_ms"`
 	// Unavailable is set if the receiver doesn't follow the store itself, or can't.
 	Unavailable bool `json:"unavailable,omitempty"`
 }
@@ -41,6 +45,8 @@
 type FeedChanges struct {
 	Changes  []FeedObject `json:"changes"`
 	Revision uint64       `json:"revision"`
+	// AgeMillis is how long ago the store last showed that there is no later change.
+	AgeMillis int64 `json:"age_ms"`
 	// Unavailable is set if the receiver doesn't follow the store itself, or can't.
 	Unavailable bool `json:"unavailable,omitempty"`
 	// Gone is set if the receiver has forgotten changes after the revision asked for, or
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,13 +13,19 @@
 // daemons never follow one another. Positions are those of the external store, so that a
 // follower can change its source at any call. A daemon that has seen a later epoch of the
 // external store doesn't follow one that hasn't.
+//
+// A connection may fall silent for good, on which a watch waits as if nothing changed. So no watch
+// is believed for long: each replica has an age, the time since it was last shown to have all
+// changes. One daemon of the zone, its reader, watches briefly. The others learn from the reports
+// in heartbeats how current it is. A replica that is too old, or that lacks a change which another
+// daemon reports, is brought up to date over a new connection.
 package relay
 
 import (
 	"context"
-	"errors"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
 	"github.com/poplarwheel/poplarwheel/internal/feed"
@@ -30,11 +36,6 @@
 var Error = errs.Class("relay")
 
 const (
-	// watchWait is how long a daemon holds a watch of a follower while nothing changes.
-	watchWait = time.Second
-	// watchMargin is the time after watchWait at which a watch without a response times
-	// out.
-	watchMargin = 500 * time.Millisecond
 	// listTimeout bounds a list at another daemon.
 	listTimeout = time.Second
 	// catchUpAttempts and catchUpPause bound the wait for other daemons to list the
@@ -75,8 +76,12 @@
 	// ReadsDirectly reports whether this daemon is active, and so reads the external store
 	// directly.
 	ReadsDirectly func() bool
+	// IsReader reports whether this daemon is the zone's reader, which shows the others by its
+	// reports how current their replicas are.
+	IsReader func() bool
 	// StoreUnavailable reports whether the external store is known not to answer.
 	StoreUnavailable func() bool
+	Log              logrus.FieldLogger
 }
 
 // Store is a feed.Store that reads from other daemons instead of the external store where
@@ -103,6 +108,9 @@
 // Abort implements feed.Store.
 func (s *Store) Abort() { s.options.Store.Abort() }
 
+// AbortWatches implements feed.Store.
+func (s *Store) AbortWatches(kind string) { s.options.Store.AbortWatches(kind) }
+
 // Epoch implements feed.Store.
 func (s *Store) Epoch() uint64 { return s.options.Store.Epoch() }
 
@@ -110,10 +118,11 @@
 func (s *Store) OnRestored(f func(previous, current uint64)) { s.options.Store.OnRestored(f) }
 
 // MarkUnavailable records that the external store doesn't answer. Followers that wait in a
-// watch are told at once.
+// watch are told at once, and watches of the external store are ended.
 func (s *Store) MarkUnavailable() {
 	for _, local := range s.replicas {
 		local.setDirect(false)
+		local.markStoreLost()
 	}
 }
 
@@ -133,16 +142,17 @@
 		}
 		stale = stale || local.empty()
 	}
+	began := time.Now()
 	objects, at, err := s.options.Store.List(kind, stale)
 	if err == nil {
 		local.reset(objects, at)
+		local.confirm(began)
 		local.setDirect(true)
 		return objects, at, nil
 	}
 	local.setDirect(false)
 	for _, source := range s.options.Sources() {
 		if objects, at, sourceErr := s.listFrom(source, kind, local); sourceErr == nil {
-			local.reset(objects, at)
 			return objects, at, nil
 		}
 	}
@@ -164,8 +174,8 @@
 		if local.empty() || at.Epoch < s.Epoch() {
 			return false
 		}
-		if events, next, err := s.watchPeers(kind, at); err == nil {
-			local.apply(events, next)
+		if changes, err := s.watchPeers(context.Background(), kind, at); err == nil {
+			local.take(changes)
 			return true
 		}
 		if s.options.StoreUnavailable() {
@@ -176,24 +186,8 @@
 	return false
 }
 
-// watchPeers watches a kind at the first daemon that can be followed. If there is none, the error
-// is ErrHistoryGone if a daemon no longer has the changes, so that it can be listed at.
-func (s *Store) watchPeers(kind string, after feed.Position) ([]feed.Event, feed.Position, error) {
-	err := ErrUnavailable
-	for _, source := range s.options.Sources() {
-		events, next, sourceErr := s.watchFrom(source, kind, after)
-		if sourceErr == nil {
-			return events, next, nil
-		}
-		if !errors.Is(err, feed.ErrHistoryGone) {
-			err = sourceErr
-		}
-	}
-	return nil, feed.Position{}, err
-}
-
-// listFrom lists a kind at the daemon with peer address source. A list that is older than the
-// local replica, or of a former epoch of the external store, isn't used.
+// listFrom resets the local replica of a kind to the list of the daemon with peer address source. A
+// list that is older than the replica, or of a former epoch of the external store, isn't used.
 func (s *Store) listFrom(source, kind string, local *replica) ([]feed.Object, feed.Position, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
@@ -207,60 +201,9 @@
 	}
 	var objects []feed.Object
 	for _, object := range response.Objects {
-		objects = append(objects, feed.Object{Name: object.Name, Spec: object.Spec})
+		objects = append(objects, feed.Object{Name: object.Name, Spec: object.Spec, Revision: object.Revision})
 	}
+	local.reset(objects, at)
+	local.confirm(currentAt(response.AgeMillis))
 	return objects, at, nil
 }
-
-// Watch implements feed.Store. A daemon that prefers to read from others, or for which the
-// external store is unavailable, watches at other daemons first. If that fails, it watches at the
-// external store, unless that is unavailable and the other daemons have to be listed at, because
-// they no longer have changes that are as old.
-func (s *Store) Watch(kind string, after feed.Position, wait time.Duration, stale bool) ([]feed.Event, feed.Position, error) {
-	local := s.replicas[kind]
-	if local == nil {
-		return s.options.Store.Watch(kind, after, wait, stale)
-	}
-	if s.options.StoreUnavailable() || s.readsFromPeers(local) {
-		local.setDirect(false)
-		events, next, err := s.watchPeers(kind, after)
-		if err == nil {
-			local.apply(events, next)
-			return events, next, nil
-		}
-		if errors.Is(err, feed.ErrHistoryGone) && s.options.StoreUnavailable() {
-			return nil, feed.Position{}, err
-		}
-	}
-	events, next, err := s.options.Store.Watch(kind, after, wait, stale)
-	if err != nil {
-		local.setDirect(false)
-		return nil, feed.Position{}, err
-	}
-	local.apply(events, next)
-	local.setDirect(true)
-	return events, next, nil
-}
-
-// watchFrom watches a kind at the daemon with peer address source.
-func (s *Store) watchFrom(source, kind string, after feed.Position) ([]feed.Event, feed.Position, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), watchWait+watchMargin)
-	defer cancel()
-	request := peer.FeedRequest{Kind: kind, After: after.Revision, Epoch: after.Epoch}
-	var response peer.FeedChanges
-	if err := s.options.Caller.Call(ctx, source, peer.MethodFeedWatch, request, &response); err != nil {
-		return nil, feed.Position{}, err
-	}
-	switch {
-	case response.Unavailable:
-		return nil, feed.Position{}, ErrUnavailable
-	case response.Gone:
-		return nil, feed.Position{}, feed.ErrHistoryGone
-	}
-	var events []feed.Event
-	for _, changed := range response.Changes {
-		object := feed.Object{Name: changed.Name, Spec: changed.Spec}
-		events = append(events, feed.Event{Object: object, Deleted: changed.Deleted})
-	}
-	return events, feed.Position{Epoch: after.Epoch, Revision: max(response.Revision, after.Revision)}, nil
-}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/poplarwheel/poplarwheel/internal/feed"
+	"github.com/poplarwheel/poplarwheel/internal/logging"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
 )
 
@@ -58,6 +60,8 @@
 func (s *fakeStore) Ping() error { return nil }
 func (s *fakeStore) Abort()      {}
 
+func (s *fakeStore) AbortWatches(string) {}
+
 func (s *fakeStore) OnRestored(func(uint64, uint64)) {}
 
 func (s *fakeStore) Epoch() uint64 {
@@ -77,7 +81,7 @@
 	external *fakeStore
 	store    *Store
 	direct   bool
-	away     bool
+	away     atomic.Bool
 	sources  []string
 }
 
@@ -110,7 +114,9 @@
 		Kinds:            []Kind{{Name: kind, PreferPeers: preferPeers}},
 		Sources:          func() []string { return d.sources },
 		ReadsDirectly:    func() bool { return d.direct },
-		StoreUnavailable: func() bool { return d.away },
+		IsReader:         func() bool { return false },
+		StoreUnavailable: d.away.Load,
+		Log:              logging.Discard(),
 	})
 	z[name] = d
 	return d
@@ -174,7 +180,8 @@
 	for _, d := range []*daemon{a, b} {
 		d.direct = true
 		d.list(t)
-		d.external.down, d.away = true, true
+		d.external.down = true
+		d.away.Store(true)
 	}
 	for _, d := range []*daemon{a, b} {
 		_, _, err := d.store.Watch(kind, at(1), time.Second, true)
@@ -232,7 +239,8 @@
 	require.NoError(t, err)
 	require.Equal(t, 2, rejected.external.calls)
 
-	rejected.external.down, rejected.away = true, true
+	rejected.external.down = true
+	rejected.away.Store(true)
 	require.Equal(t, at(7), rejected.list(t))
 	reader.external.revision = 8
 	reader.external.events = []feed.Event{{Object: object("a", `2`)}}
@@ -243,7 +251,7 @@
 	require.Equal(t, at(8), next)
 	require.Equal(t, object("a", `2`), events[0].Object)
 
-	reader.away = true
+	reader.away.Store(true)
 	_, _, err = rejected.store.Watch(kind, at(8), time.Second, true)
 	require.ErrorIs(t, err, errDown, "a source must not be followed while the external store is unavailable to it")
 }
@@ -297,7 +305,7 @@
 	require.ElementsMatch(t, reader.external.objects, objects)
 	require.Equal(t, calls, follower.external.calls)
 
-	reader.away = true
+	reader.away.Store(true)
 	follower.external.revision = 9
 	follower.list(t)
 	require.Equal(t, calls+1, follower.external.calls)
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -36,10 +36,19 @@
 	direct bool
 	// updated is closed and replaced when at or direct changes.
 	updated chan struct{}
+	// currency tells how current the replica is, and doubted wakes the current watch when there
+	// is a reason to doubt it.
+	currency currency
+	doubted  chan struct{}
 }
 
 func newReplica(preferPeers bool) *replica {
-	return &replica{preferPeers: preferPeers, objects: map[string]feed.Object{}, updated: make(chan struct{})}
+	return &replica{
+		preferPeers: preferPeers,
+		objects:     map[string]feed.Object{},
+		updated:     make(chan struct{}),
+		doubted:     make(chan struct{}, 1),
+	}
 }
 
 // reset replaces all objects by those of a list. Differences are recorded as changes at the
@@ -57,19 +66,26 @@
 	for _, object := range objects {
 		r.objects[object.Name] = object
 		if known, ok := previous[object.Name]; !ok || !bytes.Equal(known.Spec, object.Spec) {
-			r.recordChange(at.Revision, feed.Event{Object: object})
+			r.recordChange(at, feed.Event{Object: object})
 		}
 		delete(previous, object.Name)
 	}
 	for _, object := range previous {
-		r.recordChange(at.Revision, feed.Event{Object: object, Deleted: true})
+		r.recordChange(at, feed.Event{Object: object, Deleted: true})
 	}
 	if first {
 		r.changes, r.oldest = nil, at.Revision
+		r.currency.changed = newest(at.Epoch, objects)
 	}
 	r.advance(at)
 }
 
+// take applies the result of a watch.
+func (r *replica) take(result changes) {
+	r.apply(result.events, result.next)
+	r.confirm(result.currentAt)
+}
+
 // apply applies changes up to a position. Changes of another epoch are ignored.
 func (r *replica) apply(events []feed.Event, at feed.Position) {
 	r.mu.Lock()
@@ -83,14 +99,15 @@
 		} else {
 			r.objects[event.Object.Name] = event.Object
 		}
-		r.recordChange(at.Revision, event)
+		r.recordChange(at, event)
 	}
 	r.advance(at)
 }
 
 // recordChange appends a change and drops the oldest ones beyond maxChanges.
-func (r *replica) recordChange(revision uint64, event feed.Event) {
-	r.changes = append(r.changes, change{revision: revision, event: event})
+func (r *replica) recordChange(at feed.Position, event feed.Event) {
+	r.currency.recordChange(at, event.Object.Revision)
+	r.changes = append(r.changes, change{revision: at.Revision, event: event})
 	if excess := len(r.changes) - maxChanges; excess > 0 {
 		r.oldest = r.changes[excess-1].revision
 		r.changes = slices.Delete(r.changes, 0, excess)
@@ -103,6 +120,9 @@
 		r.at = at
 		r.notify()
 	}
+	if !r.at.Before(r.currency.reported) {
+		r.currency.behindSince = time.Time{}
+	}
 }
 
 // isAfter reports whether the replica is newer than a position.
--- a/internal/relay/restored_test.go
+++ b/internal/relay/restored_test.go
@@ -88,7 +88,8 @@
 	require.Equal(t, position, next)
 	require.Equal(t, calls+1, follower.external.calls)
 
-	follower.external.down, follower.away = true, true
+	follower.external.down = true
+	follower.away.Store(true)
 	_, _, err = follower.store.List(kind, false)
 	require.ErrorIs(t, err, errDown, "a list of the former epoch must not be used")
 }
@@ -102,7 +103,8 @@
 		d.external.objects, d.external.revision = []feed.Object{object("lost", `1`)}, 9
 		d.list(t)
 	}
-	rejected.external.down, rejected.away = true, true
+	rejected.external.down = true
+	rejected.away.Store(true)
 	reader.external.restore(12, object("old", `1`))
 	reader.list(t)
 	_, _, err := rejected.store.Watch(kind, at(9), time.Second, true)
@@ -128,8 +130,9 @@
 		d.external.objects, d.external.revision = []feed.Object{object("lost", `1`)}, 9
 		d.list(t)
 	}
-	outdated.away = true
-	turnedAway.external.down, turnedAway.away = true, true
+	outdated.away.Store(true)
+	turnedAway.external.down = true
+	turnedAway.away.Store(true)
 	reader.external.restore(5, object("new", `1`))
 	reader.list(t)
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/peer"
@@ -33,9 +34,9 @@
 		return peer.FeedObjects{Unavailable: true}, nil
 	}
 	objects, at, direct := local.list()
-	response := peer.FeedObjects{Revision: at.Revision, Epoch: at.Epoch, Unavailable: !direct}
+	response := peer.FeedObjects{Revision: at.Revision, Epoch: at.Epoch, AgeMillis: local.age(time.Now()).Milliseconds(), Unavailable: !direct}
 	for _, object := range objects {
-		response.Objects = append(response.Objects, peer.FeedObject{Name: object.Name, Spec: object.Spec})
+		response.Objects = append(response.Objects, peer.FeedObject{Name: object.Name, Spec: object.Spec, Revision: object.Revision})
 	}
 	return response, nil
 }
@@ -51,9 +52,14 @@
 	}
 	result := local.watch(feed.Position{Epoch: request.Epoch, Revision: request.After}, watchWait)
 	// The external store may have become unavailable during the wait.
-	response := peer.FeedChanges{Revision: result.at.Revision, Unavailable: result.unavailable || s.options.StoreUnavailable(), Gone: result.gone}
+	response := peer.FeedChanges{
+		Revision:    result.at.Revision,
+		AgeMillis:   local.age(time.Now()).Milliseconds(),
+		Unavailable: result.unavailable || s.options.StoreUnavailable(),
+		Gone:        result.gone,
+	}
 	for _, event := range result.events {
-		changed := peer.FeedObject{Name: event.Object.Name, Deleted: event.Deleted}
+		changed := peer.FeedObject{Name: event.Object.Name, Deleted: event.Deleted, Revision: event.Object.Revision}
 		if !event.Deleted {
 			changed.Spec = event.Object.Spec
 		}
