--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -22,9 +22,9 @@
 	listInterval = 15 * time.Second
 )
 
-// register registers the daemon on the platform and discovers the other daemons. Lists may
-// be outdated, so it lists them a second time soon, when daemons that started at the same
-// time are visible.
+// register registers the daemon on the platform and discovers the other daemons. It lists them a
+// second time soon, when daemons that started at the same time are registered. As long as it knows
+// none of its zone, only the first list is a stale read.
 func (d *Daemon) register(self heartbeat.Member) {
 	d.askPeers()
 	// Heartbeats carry what changes with each start. Without it, the registration of a
@@ -39,8 +39,10 @@
 		time.Sleep(registerRetryInterval)
 	}
 	pause := secondListDelay
-	for !d.stopping.Load() {
-		if err := d.discover(); err != nil {
+	for first := true; !d.stopping.Load(); first = false {
+		// A stale list may leave out all daemons that have started lately.
+		stale := first || len(d.node.Members()) > 0
+		if err := d.discover(stale); err != nil {
 			d.log.WithError(err).Info("failed to list the registered daemons; retrying")
 		}
 		time.Sleep(pause)
@@ -52,7 +54,7 @@
 // can't be listed although the platform responds to other calls, the daemon starts without.
 func (d *Daemon) askPeers() {
 	for failures := 0; failures < maxListFailures && !d.stopping.Load(); {
-		members, err := d.platform.RegisteredDaemons()
+		members, err := d.platform.RegisteredDaemons(true)
 		if err == nil {
 			d.configPeers.askAll(members)
 			break
@@ -68,8 +70,8 @@
 }
 
 // discover passes the registered daemons to the heartbeat node.
-func (d *Daemon) discover() error {
-	members, err := d.platform.RegisteredDaemons()
+func (d *Daemon) discover(stale bool) error {
+	members, err := d.platform.RegisteredDaemons(stale)
 	if err != nil {
 		return err
 	}
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -71,9 +71,9 @@
 	// Deregister removes it.
 	Register(member heartbeat.Member) error
 	Deregister() error
-	// RegisteredDaemons returns the registered daemons of all zones. The list may be some
-	// seconds old.
-	RegisteredDaemons() ([]heartbeat.Member, error)
+	// RegisteredDaemons returns the registered daemons of all zones. A stale list costs less,
+	// but may be some seconds old.
+	RegisteredDaemons(stale bool) ([]heartbeat.Member, error)
 	// StoreQuarantined stores content that crashes targets, so that its quarantine survives a
 	// restart of all daemons. DeleteQuarantined deletes stored content, LoadQuarantined
 	// returns all of it.
--- a/internal/relay/age.go
+++ b/internal/relay/age.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// neverConfirmed reports whether nothing has shown yet that the replica is current.
+func (r *replica) neverConfirmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.currency.currentAt.IsZero()
+}
+
 // age returns for how long nothing has shown that the replica has all changes.
 func (r *replica) age(now time.Time) time.Duration {
 	r.mu.Lock()
--- a/internal/relay/age_test.go
+++ b/internal/relay/age_test.go
@@ -152,3 +152,21 @@
 	require.Equal(t, at(2), next)
 	require.Len(t, events, 1)
 }
+
+// Guards against a stale read, which may be seconds old, that counts as if it showed all changes.
+func TestStaleReadsDoNotShowThatAReplicaIsCurrent(t *testing.T) {
+	z := zone{}
+	d := z.add("daemon", false)
+	d.list(t)
+	local := d.store.replicas[kind]
+	confirmedAt := local.currency.currentAt
+	for _, stale := range []bool{true, false} {
+		_, _, err := d.store.Watch(kind, at(1), time.Second, stale)
+		require.NoError(t, err)
+		require.Equal(t, stale, local.currency.currentAt.Equal(confirmedAt))
+	}
+	confirmedAt = local.currency.currentAt
+	_, _, err := d.store.List(kind, true)
+	require.NoError(t, err)
+	require.Equal(t, confirmedAt, local.currency.currentAt)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,8 +16,8 @@
 //
 // A connection may fall silent for good, on which a watch waits as if nothing changed. So no watch
 // is believed for long: each replica has an age, the time since it was last shown to have all
-// changes. One daemon of the zone, its reader, watches briefly. The others learn from the reports
-// in heartbeats how current it is. A replica that is too old, or that lacks a change which another
+// changes. One daemon of the zone, its reader, watches briefly and without stale reads, which
+// may be seconds old. The others learn from the reports in heartbeats how current it is. A replica that is too old, or that lacks a change which another
 // daemon reports, is brought up to date over a new connection.
 package relay
 
@@ -129,7 +129,7 @@
 // List implements feed.Store. It lists at the external store, and at other daemons if the
 // external store doesn't answer. If a daemon that prefers to read from others has a replica,
 // it first tries to bring that up to date by their changes. The first list of such a daemon
-// may be stale, since its watches continue from the revision of the list.
+// may be stale, since its watches continue from the revision of the list; its age counts from then.
 func (s *Store) List(kind string, stale bool) ([]feed.Object, feed.Position, error) {
 	local := s.replicas[kind]
 	if local == nil {
@@ -146,7 +146,9 @@
 	objects, at, err := s.options.Store.List(kind, stale)
 	if err == nil {
 		local.reset(objects, at)
-		local.confirm(began)
+		if !stale || local.neverConfirmed() {
+			local.confirm(began)
+		}
 		local.setDirect(true)
 		return objects, at, nil
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -17,7 +17,8 @@
 	// watchMargin is the time after watchWait at which a watch without a response times
 	// out.
 	watchMargin = 500 * time.Millisecond
-	// readerWatchWait is how long the watches of the zone's reader wait for changes.
+	// readerWatchWait is how long the watches of the zone's reader, which are never stale reads,
+	// wait for changes.
 	readerWatchWait = 1500 * time.Millisecond
 	// renewWait is how long a call waits for changes that only brings a replica up to date.
 	renewWait = time.Millisecond
@@ -27,7 +28,7 @@
 type changes struct {
 	events []feed.Event
 	next   feed.Position
-	// currentAt is a time until which there are no later changes.
+	// currentAt is a time until which there are no later changes, zero if none is known.
 	currentAt time.Time
 	// direct is set if the changes come from the external store itself.
 	direct bool
@@ -50,7 +51,7 @@
 		return s.options.Store.Watch(kind, after, wait, stale)
 	}
 	if s.options.IsReader() {
-		wait = min(wait, readerWatchWait)
+		wait, stale = min(wait, readerWatchWait), false
 	}
 	local.beginWatch()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -149,10 +150,15 @@
 	return changes{}, err
 }
 
-// watchStore watches a kind at the external store.
+// watchStore watches a kind at the external store. A stale read doesn't show that there are no later
+// changes.
 func (s *Store) watchStore(kind string, after feed.Position, wait time.Duration, stale bool) (changes, error) {
 	events, next, err := s.options.Store.Watch(kind, after, wait, stale)
-	return changes{events: events, next: next, currentAt: time.Now(), direct: true}, err
+	result := changes{events: events, next: next, direct: true}
+	if !stale {
+		result.currentAt = time.Now()
+	}
+	return result, err
 }
 
 // watchPeers watches a kind at the first daemon that can be followed. If there is none, the error
