Refuse requests that come late in a planned stop

Callers saw: requests that came 3.00 to 3.18 s after SIGTERM, on connections that they kept using, were passed on to a target and cut off at the exit, among them such as must not be repeated.

Cause: a draining daemon accepted every request for 3.2 s: the 3 s for which callers may use a list of entry VMs, and 0.2 s for requests on their way.

Change: it accepts every request for 2.8 s, later ones only if their deadline is before the exit. The others are refused at once as not run.

--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -7,6 +7,15 @@
 	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
 )
 
+const (
+	// directoryCacheTime is for how long callers may keep using a list of entry VMs.
+	directoryCacheTime = directoryCacheFactor * directoryTTL
+	// acceptAllFor is how long a draining daemon accepts every request. Requests that are sent
+	// within directoryCacheTime may arrive later, but one that was sent later must not be
+	// accepted unless it ends before the exit.
+	acceptAllFor = directoryCacheTime - requestMargin
+)
+
 // drain shuts the daemon down without aborting requests in progress: callers are directed to
 // other daemons, and requests that still arrive here are served.
 func (d *Daemon) drain() {
@@ -15,11 +24,11 @@
 	d.serving.Store(false)
 	d.node.SetState(heartbeat.Draining)
 	end := began.Add(d.settings.TerminationGrace - exitMargin)
-	d.gateway.BeginDrain(began.Add(directoryCacheFactor*directoryTTL+requestMargin), end)
+	d.gateway.BeginDrain(began.Add(acceptAllFor), end)
 	d.server.Drain()
 	d.log.WithField("in_flight", d.server.InFlight()).Info("leaving")
 	go d.deregister()
-	d.awaitIdle(began.Add(directoryCacheFactor*directoryTTL+exitMargin), end)
+	d.awaitIdle(began.Add(directoryCacheTime+exitMargin), end)
 	d.stop()
 }
 
