Give a daemon its share of the fixed retries only after a window

Cause, one that was found by reading and shown by a model: the shares of daemons that take turns add up. One that is newly advertised took its share at once although its predecessor had spent it in the same window, and one that restarts had forgotten what it had spent.

Change: the share counts from a whole window after the start, and after the daemon became advertised.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -37,8 +37,8 @@
 	// exitMargin is how long before the end of the grace period a draining daemon exits,
 	// even if requests are in flight.
 	exitMargin = 300 * time.Millisecond
-	// requestMargin is added to the time for which callers cache the list of entry VMs, for
-	// requests that are on their way when it ends.
+	// requestMargin covers the time from the sending of a request to its arrival, and that from
+	// a signal to its handling.
 	requestMargin = 200 * time.Millisecond
 	// drainPollInterval is the interval at which a draining daemon checks whether it can
 	// exit.
@@ -76,6 +76,8 @@
 	closers []io.Closer
 	// quarantine detects requests that crash targets.
 	quarantine *quarantine.Coordinator
+	// retryShare is accessed only by updateShares.
+	retryShare retryShare
 
 	// rejectedConfigs counts the configurations that were invalid.
 	rejectedConfigs atomic.Uint64
@@ -115,6 +117,7 @@
 // SIGHUP reloads the settings.
 func (d *Daemon) Run(signals <-chan os.Signal) error {
 	d.started = time.Now()
+	d.retryShare.startedAt = d.started
 	self := heartbeat.Member{
 		Name:          d.settings.Name,
 		Zone:          d.settings.Zone,
--- a/internal/gatewayd/shares.go
+++ b/internal/gatewayd/shares.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
+	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
@@ -19,27 +20,54 @@
 	probeMargin = 0.95
 )
 
+// retryShare is this daemon's share of the fixed part of the retry budget, which all daemons have in
+// common. What a daemon has spent counts for a whole window, also after it has ended or is no
+// longer advertised. So a daemon that takes its place gets the share only after a window.
+type retryShare struct {
+	startedAt time.Time
+	// advertisedSince is when the daemon was last added to the advertised ones; zero while it isn't
+	// one of them.
+	advertisedSince time.Time
+}
+
+// at returns the share at a time.
+func (s *retryShare) at(now time.Time, window time.Duration, zones float64, status heartbeat.ZoneStatus) float64 {
+	switch {
+	case !status.Advertised:
+		s.advertisedSince = time.Time{}
+	case s.advertisedSince.IsZero():
+		s.advertisedSince = now
+	}
+	share := 0.0
+	if now.Sub(s.startedAt) >= window {
+		share += (1 - advertisedRetries) / (zones * float64(status.Daemons))
+	}
+	if status.Advertised && now.Sub(s.advertisedSince) >= window {
+		share += advertisedRetries / (zones * float64(status.AdvertisedDaemons))
+	}
+	return share
+}
+
 // updateShares keeps the daemon's load and its shares of the common budgets up to date.
 func (d *Daemon) updateShares() {
 	for {
 		d.node.RecordCalls(d.gateway.RoutedRequests())
-		d.gateway.SetShares(d.shares())
+		d.gateway.SetShares(d.shares(time.Now()))
 		time.Sleep(shareInterval)
 	}
 }
 
-func (d *Daemon) shares() gateway.Shares {
+func (d *Daemon) shares(now time.Time) gateway.Shares {
 	status := d.node.ZoneStatus()
 	zones := float64(max(len(d.settings.Zones), 1))
 	perDaemon := 1 / (zones * float64(status.Daemons))
 	shares := gateway.Shares{
-		Retries: (1 - advertisedRetries) * perDaemon,
+		Retries: d.retryShare.at(now, d.settings.RetryWindow, zones, status),
 		Probes:  probeMargin * (1 - advertisedProbes) * perDaemon,
 	}
 	if status.Advertised {
 		shares.Places = placement.Partition{Index: status.Index, Of: status.AdvertisedDaemons}
 		perAdvertised := 1 / (zones * float64(status.AdvertisedDaemons))
-		shares.Retries += advertisedRetries * perAdvertised
 		shares.Probes += probeMargin * advertisedProbes * perAdvertised
 	}
 	if !d.serving.Load() && !d.stopping.Load() {
