--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -24,11 +24,9 @@
 	// watchPause is the pause after a watch that returned changes. Changes that are made
 	// within it are returned by a single call.
 	watchPause = 300 * time.Millisecond
-	// longWatchTimeout is how long a watch waits for changes while the monitor pings the
-	// store regularly. Without regular pings watches are the only way to detect an
-	// outage, and wait no longer than shortWatchTimeout.
-	longWatchTimeout  = 25 * time.Second
-	shortWatchTimeout = 2500 * time.Millisecond
+	// watchTimeout is how long a watch waits for changes. An outage is found sooner by pings, or
+	// by the age of what is known.
+	watchTimeout = 25 * time.Second
 	// settleDelay is how long after a failure of a watch the store may omit changes.
 	settleDelay = time.Second
 	// noStaleReadsFor is how long after a failure of the store no stale reads are made.
@@ -179,7 +177,7 @@
 // watch applies changes after a position until a watch fails.
 func (f *Follower) watch(position Position) {
 	for {
-		events, next, err := f.store.Watch(f.kind, position, f.monitor.watchTimeout(), f.allowStale())
+		events, next, err := f.store.Watch(f.kind, position, watchTimeout, f.allowStale())
 		if errors.Is(err, ErrHistoryGone) || errors.Is(err, ErrRestored) {
 			f.lastFailureAt = time.Now()
 			return
--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -37,7 +37,7 @@
 
 // NewMonitor returns a monitor; Run starts it. Needed reports whether callers depend on
 // the data that this daemon reads. While they don't, the monitor pings only after a
-// failed call, and watches are short.
+// failed call.
 func NewMonitor(store Store, needed func() bool, log logrus.FieldLogger) *Monitor {
 	m := &Monitor{store: store, needed: needed, onLost: func() {}, log: log, recovered: make(chan struct{}), pingRequested: make(chan struct{}, 1)}
 	store.OnRestored(m.markRestored)
@@ -91,14 +91,6 @@
 	}
 }
 
-// watchTimeout is how long a watch may wait for changes.
-func (m *Monitor) watchTimeout() time.Duration {
-	if m.needed() {
-		return longWatchTimeout
-	}
-	return shortWatchTimeout
-}
-
 // Unavailable reports whether the store is known not to respond.
 func (m *Monitor) Unavailable() bool {
 	m.mu.Lock()
--- a/internal/relay/age.go
+++ b/internal/relay/age.go
@@ -12,9 +12,9 @@
 	// readerMaxAge and maxAge are the ages at which the replicas of the zone's reader and of the
 	// other daemons are in doubt. The reader's reports reach the others in between. The others
 	// add up to ageSpread, so that the first of them to read again can tell the rest.
-	readerMaxAge = 2 * time.Second
-	maxAge       = 2500 * time.Millisecond
-	ageSpread    = 300 * time.Millisecond
+	readerMaxAge = 2400 * time.Millisecond
+	maxAge       = 2800 * time.Millisecond
+	ageSpread    = 100 * time.Millisecond
 	// behindGrace is how long a replica may lack a change that another daemon has reported. The
 	// change may be on its way.
 	behindGrace = 700 * time.Millisecond
@@ -190,7 +190,8 @@
 func (r *replica) doubt(now time.Time, ageLimit time.Duration) (doubt, time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	checkAfter := ageLimit - now.Sub(r.currency.currentAt)
+	age := now.Sub(r.currency.currentAt)
+	checkAfter := ageLimit - age
 	switch {
 	case r.currency.currentAt.IsZero():
 		return noDoubt, ageLimit
@@ -199,13 +200,22 @@
 	case checkAfter <= 0:
 		return tooOld, 0
 	case r.currency.behindSince.IsZero():
-		return noDoubt, checkAfter
+		return noDoubt, untilCheck(age, checkAfter)
 	}
 	grace := behindGrace - now.Sub(r.currency.behindSince)
 	if grace <= 0 {
 		return behind, 0
 	}
-	return noDoubt, min(checkAfter, grace)
+	return noDoubt, min(untilCheck(age, checkAfter), grace)
+}
+
+// untilCheck returns when to ask for doubts again about a replica that is in doubt after some time:
+// also at the reader's age limit, since the daemon may have become the reader.
+func untilCheck(age, inDoubtAfter time.Duration) time.Duration {
+	if age < readerMaxAge {
+		return min(inDoubtAfter, readerMaxAge-age)
+	}
+	return inDoubtAfter
 }
 
 // wakeWatch makes the current watch look for doubts. The caller holds the lock.
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -19,7 +19,7 @@
 	watchMargin = 500 * time.Millisecond
 	// readerWatchWait is how long the watches of the zone's reader, which are never stale reads,
 	// wait for changes.
-	readerWatchWait = 1500 * time.Millisecond
+	readerWatchWait = 2 * time.Second
 	// renewWait is how long a call waits for changes that only brings a replica up to date.
 	renewWait = time.Millisecond
 )
@@ -95,7 +95,6 @@
 
 // await waits for the end of a watch, or until it is in doubt.
 func (s *Store) await(pending <-chan watched, local *replica) (watched, doubt) {
-	limit := s.ageLimit()
 	check := time.NewTimer(0)
 	defer check.Stop()
 	for {
@@ -105,7 +104,7 @@
 		case <-local.doubted:
 		case <-check.C:
 		}
-		doubt, checkAfter := local.doubt(time.Now(), limit)
+		doubt, checkAfter := local.doubt(time.Now(), s.ageLimit())
 		if doubt == noDoubt {
 			check.Reset(checkAfter)
 			continue
