--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,9 +16,10 @@
 //
 // A connection may fall silent for good, on which a watch waits as if nothing changed. So no watch
 // is believed for long: each replica has an age, the time since it was last shown to have all
-// changes. One daemon of the zone, its reader, watches briefly and without stale reads, which
-// may be seconds old. The others learn from the reports in heartbeats how current it is. A replica that is too old, or that lacks a change which another
-// daemon reports, is brought up to date over a new connection.
+// changes. One daemon of the zone, its reader, watches briefly and without stale reads, which may
+// be seconds old. The others learn from the reports in heartbeats how current it is. A replica that
+// is too old, or that lacks a change which another daemon reports, is brought up to date over a new
+// connection.
 package relay
 
 import (
