--- a/internal/gatewayd/shares.go
+++ b/internal/gatewayd/shares.go
@@ -38,11 +38,13 @@
 	case s.advertisedSince.IsZero():
 		s.advertisedSince = now
 	}
+	// Without other daemons there is nobody who can have spent it.
+	alone := status.Daemons == 1
 	share := 0.0
-	if now.Sub(s.startedAt) >= window {
+	if alone || now.Sub(s.startedAt) >= window {
 		share += (1 - advertisedRetries) / (zones * float64(status.Daemons))
 	}
-	if status.Advertised && now.Sub(s.advertisedSince) >= window {
+	if status.Advertised && (alone || now.Sub(s.advertisedSince) >= window) {
 		share += advertisedRetries / (zones * float64(status.AdvertisedDaemons))
 	}
 	return share
