List the registered daemons afresh the second time

Cause: a daemon made a stale read for its second list if it knew any other by then, for instance because that one had pinged it, and so missed the rest until its third list, 15 s later.

Change: the second list is always a fresh read. Of two daemons the one that registers later then finds the other.

--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -23,8 +23,8 @@
 )
 
 // register registers the daemon on the platform and discovers the other daemons. It lists them a
-// second time soon, when daemons that started at the same time are registered. As long as it knows
-// none of its zone, only the first list is a stale read.
+// second time soon, when daemons that started at the same time are registered. That list is no stale
+// read, which may leave out all of them.
 func (d *Daemon) register(self heartbeat.Member) {
 	d.askPeers()
 	// Heartbeats carry what changes with each start. Without it, the registration of a
@@ -39,10 +39,8 @@
 		time.Sleep(registerRetryInterval)
 	}
 	pause := secondListDelay
-	for first := true; !d.stopping.Load(); first = false {
-		// A stale list may leave out all daemons that have started lately.
-		stale := first || len(d.node.Members()) > 0
-		if err := d.discover(stale); err != nil {
+	for lists := 1; !d.stopping.Load(); lists++ {
+		if err := d.discover(lists != 2); err != nil {
 			d.log.WithError(err).Info("failed to list the registered daemons; retrying")
 		}
 		time.Sleep(pause)
