--- a/internal/gatewayd/feeds.go
+++ b/internal/gatewayd/feeds.go
@@ -46,8 +46,9 @@
 // discoveryTime is how long a starting daemon may not know those that rank before it.
 const discoveryTime = 2 * time.Second
 
-// isReader reports whether this daemon reads the store often, to show the others of the zone how
-// current they are.
+// isReader reports whether this daemon reads the store more often than the others of the zone, and
+// reports to them what it knows. A daemon that starts doesn't take itself for the reader before it
+// can know the others.
 func (d *Daemon) isReader() bool { return time.Since(d.started) > discoveryTime && d.node.IsFirst() }
 
 // servePeers starts to serve requests of other daemons.
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -61,9 +61,9 @@
 		result, err := s.watchAnywhere(ctx, kind, after, wait, stale)
 		pending <- watched{changes: result, err: err}
 	}()
-	ended, doubt := s.await(pending, local)
-	if doubt != noDoubt {
-		s.logDoubt(kind, local, doubt)
+	ended, reason := s.await(pending, local)
+	if reason != noDoubt {
+		s.logDoubt(kind, local, reason)
 		cancel()
 		ended.changes, ended.err = s.renew(kind, after)
 	}
@@ -104,8 +104,8 @@
 		case <-local.doubted:
 		case <-check.C:
 		}
-		doubt, checkAfter := local.doubt(time.Now(), s.ageLimit())
-		if doubt == noDoubt {
+		reason, checkAfter := local.doubt(time.Now(), s.ageLimit())
+		if reason == noDoubt {
 			check.Reset(checkAfter)
 			continue
 		}
@@ -113,13 +113,13 @@
 		case ended := <-pending:
 			return ended, noDoubt
 		default:
-			return watched{}, doubt
+			return watched{}, reason
 		}
 	}
 }
 
-func (s *Store) logDoubt(kind string, local *replica, doubt doubt) {
-	s.options.Log.WithFields(logrus.Fields{"kind": kind, "reason": doubt, "age_ms": local.age(time.Now()).Milliseconds()}).Info("watch in doubt; reading again")
+func (s *Store) logDoubt(kind string, local *replica, reason doubt) {
+	s.options.Log.WithFields(logrus.Fields{"kind": kind, "reason": reason, "age_ms": local.age(time.Now()).Milliseconds()}).Info("watch in doubt; reading again")
 }
 
 // renew brings the replica of a kind up to date over a new connection: at the external store, or at
