Don't take an odd object's revision for that of a change

Cause: an object of the store whose metadata names a revision far beyond the store's own made its reader report a change that nobody could have. All other daemons were in doubt for good and read again every 0.9 s.

Change: the revision is bounded by that of the list.

--- a/internal/relay/age.go
+++ b/internal/relay/age.go
@@ -58,11 +58,12 @@
 	}
 }
 
-// newest returns the position of the last change of the listed objects.
-func newest(epoch uint64, objects []feed.Object) feed.Position {
-	last := feed.Position{Epoch: epoch}
+// newest returns the position of the last change of the objects that were listed at a position. An odd
+// object may name a later one.
+func newest(listedAt feed.Position, objects []feed.Object) feed.Position {
+	last := feed.Position{Epoch: listedAt.Epoch}
 	for _, object := range objects {
-		last.Revision = max(last.Revision, object.Revision)
+		last.Revision = max(last.Revision, min(object.Revision, listedAt.Revision))
 	}
 	return last
 }
--- a/internal/relay/age_test.go
+++ b/internal/relay/age_test.go
@@ -81,8 +81,11 @@
 	r := newReplica(false)
 	_, ok := r.report(start)
 	require.False(t, ok, "an empty replica reports nothing")
-	listed := object("a", `1`)
-	listed.Revision = 3
+	listed, odd := object("a", `1`), object("odd", `1`)
+	listed.Revision, odd.Revision = 3, 1<<60
+	r.reset([]feed.Object{odd}, at(2))
+	require.EqualValues(t, 2, changed(r), "an odd object may name a revision that doesn't exist yet")
+	r = newReplica(false)
 	r.reset([]feed.Object{listed}, at(9))
 	require.EqualValues(t, 3, changed(r))
 	written := object("b", `2`)
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -75,7 +75,7 @@
 	}
 	if first {
 		r.changes, r.oldest = nil, at.Revision
-		r.currency.changed = newest(at.Epoch, objects)
+		r.currency.changed = newest(at, objects)
 	}
 	r.advance(at)
 }
