--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -33,6 +33,16 @@
 	DuplicateServiceName Problem = "two services have the same name"
 )
 
+// Problems of a workspace. They don't tell its keys.
+const (
+	MissingWorkspaceName   Problem = "a workspace has no name"
+	DuplicateWorkspaceName Problem = "two workspaces have the same name"
+	EmptyKey               Problem = "a key is empty"
+	DuplicateKey           Problem = "a key is given twice"
+	InvalidQuota           Problem = "the rate and the burst of a quota must be finite and not negative"
+	InvalidPriority        Problem = "the priority must not be negative"
+)
+
 // Problems of the limits.
 const (
 	InvalidHeaderBytes    Problem = "the maximum size of a header must be positive"
@@ -45,16 +55,21 @@
 // or the limits are invalid.
 type InvalidError struct {
 	// Route is the name of the invalid route, its host and path prefix if it has no name, or
-	// empty if a service or the limits are invalid.
-	Route   string
-	Problem Problem
+	// empty if another part is invalid.
+	Route string
+	// Workspace is the name of the invalid workspace, or empty.
+	Workspace string
+	Problem   Problem
 }
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	part := "services or limits"
-	if e.Route != "" {
+	part := "services, workspaces or limits"
+	switch {
+	case e.Route != "":
 		part = fmt.Sprintf("route %q", e.Route)
+	case e.Workspace != "":
+		part = fmt.Sprintf("workspace %q", e.Workspace)
 	}
 	return Error.Wrap(fmt.Errorf("%s: %s", part, e.Problem)).Error()
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -49,6 +49,8 @@
 	Objective time.Duration
 	// Priority orders waiting requests; 0 is the highest priority.
 	Priority int
+	// AllowAnonymous lets requests without a key use the route.
+	AllowAnonymous bool
 }
 
 // Service is the configuration of a service's targets.
@@ -58,6 +60,12 @@
 	HealthPath string
 	// MaxConnections is the maximum number of connections of all callers to one target.
 	MaxConnections int
+	// ColdStart is how long a target is cold after its start. 0 means that targets don't start
+	// cold.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second, from all daemons together, that a cold
+	// target bears. 0 means that there is no limit.
+	ColdRate float64
 }
 
 // Config is a configuration before it is compiled to a Table.
@@ -67,6 +75,10 @@
 	Routes   []*Route
 	Services []*Service
 	Limits   Limits
+	// RequireKeys is set if requests need the key of a workspace, except on routes that allow
+	// anonymous requests.
+	RequireKeys bool
+	Workspaces  []*Workspace
 }
 
 // Table is a compiled configuration. It is immutable and safe for concurrent use.
@@ -75,6 +87,8 @@
 	services map[string]*Service
 	// routes holds the routes by host, in lower case, and path prefix.
 	routes map[string]map[string]*Route
+	// workspaces holds the workspaces by the hash of each of their keys.
+	workspaces map[keyHash]*Workspace
 }
 
 // Compile validates a configuration and builds its lookup table. The error is an
@@ -84,6 +98,8 @@
 		config:   config,
 		services: make(map[string]*Service, len(config.Services)),
 		routes:   map[string]map[string]*Route{},
+
+		workspaces: map[keyHash]*Workspace{},
 	}
 	if err := config.Limits.validate(); err != nil {
 		return nil, err
@@ -94,6 +110,9 @@
 	if err := t.addRoutes(); err != nil {
 		return nil, err
 	}
+	if err := t.addWorkspaces(); err != nil {
+		return nil, err
+	}
 	return t, nil
 }
 
