Count the targets that a request crashes whoever sends it

Cause: the content of a request included its caller's address, so each caller of one request began to count anew and could crash two or three targets. A line that names the request, the target and both counts is new.

Change: a request has two counts, with and without its caller, and is refused if either is at the limit. Both are suspects; they don't explain each other's deaths. A response clears the count of all callers and that of its own caller, so content that crashes targets for one caller only is still stopped.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/poplarwheel/poplarwheel/internal/placement"
+	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
@@ -145,6 +146,20 @@
 	}
 }
 
+// targetDied logs that a target died while it ran a request.
+func (l *eventLog) targetDied(a *attempt, id quarantine.Identity) {
+	if !l.allow() {
+		return
+	}
+	l.log.WithFields(logrus.Fields{
+		"request":   string(a.call.gateway.options.Dialect.RequestID(a.call.request)),
+		"route":     a.call.route.Name,
+		"target":    a.placed.Target.ID,
+		"content":   uint64(id.Content),
+		"by_caller": uint64(id.ByCaller),
+	}).Warn("target died under a request")
+}
+
 // ofTarget returns a log entry with the identity of a target.
 func (l *eventLog) ofTarget(now time.Time, s *service, target *placement.Target) *logrus.Entry {
 	return l.log.WithFields(logrus.Fields{
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -21,15 +21,17 @@
 // before Apply.
 func (g *Gateway) SetQuarantine(keeper *quarantine.Coordinator) { g.quarantine = keeper }
 
-// content returns the identity of the request's content and its caller.
-func (c *call) content() quarantine.Content {
-	return quarantine.Content(fingerprint.Of(
+// identity returns the identity of the request for the quarantine.
+func (c *call) identity() quarantine.Identity {
+	parts := [][]byte{
 		c.request.Header.Method(),
 		c.request.Header.Host(),
 		c.request.Header.RequestURI(),
-		[]byte(c.exchange.CallerIP()),
 		c.request.Body(),
-	))
+	}
+	content := fingerprint.Of(parts...)
+	byCaller := fingerprint.Of(append(parts, []byte(c.exchange.CallerIP()))...)
+	return quarantine.Identity{Content: quarantine.Content(content), ByCaller: quarantine.Content(byCaller)}
 }
 
 // standing returns whether the call may be sent, judged by its content.
@@ -38,13 +40,13 @@
 	if keeper == nil || !keeper.HasSuspects() {
 		return quarantine.Unsuspected
 	}
-	return keeper.Standing(now, c.content())
+	return keeper.Standing(now, c.identity())
 }
 
 // awaitClaim lets the call be submitted once the other daemons have confirmed that its content,
 // which is suspected, may be sent. If they don't, the call is refused.
 func (c *call) awaitClaim() {
-	c.gateway.quarantine.Claim(c.started, c.content(), func(granted bool) {
+	c.gateway.quarantine.Claim(c.started, c.identity(), func(granted bool) {
 		c.gateway.runOnLoop(func() {
 			c.claim.Granted(granted)
 			if c.done {
@@ -64,7 +66,7 @@
 // call.
 func (c *call) releaseClaim() {
 	if c.done && c.sending == 0 && c.claim.TakeRelease() {
-		c.gateway.quarantine.Release(c.content())
+		c.gateway.quarantine.Release(c.identity().Content)
 	}
 }
 
@@ -86,7 +88,7 @@
 // because it isn't retried anyway. Other requests with the same content aren't sent meanwhile.
 func (a *attempt) checkForCrash(closedAt time.Time, result placement.Result) {
 	c := a.call
-	content := c.content()
+	content := c.identity().Content
 	keeper := c.gateway.quarantine
 	keeper.BeginCheck(content)
 	held := c.placed.Idempotent
@@ -114,10 +116,12 @@
 // request may be retried.
 func (a *attempt) targetDied(closedAt time.Time, held bool, result placement.Result) {
 	c := a.call
-	content := c.content()
+	id := c.identity()
 	keeper := c.gateway.quarantine
+	c.gateway.log.targetDied(a, id)
 	failed := &quarantine.FailedRequest{
-		Content:    content,
+		Content:    id.Content,
+		ByCaller:   id.ByCaller,
 		Service:    c.service.name,
 		Type:       c.route.Name,
 		Target:     a.placed.Target.ID,
@@ -126,7 +130,7 @@
 	}
 	failed.Resume = func(allowed bool) {
 		c.gateway.runOnLoop(func() {
-			keeper.EndCheck(content)
+			keeper.EndCheck(id.Content)
 			c.claim.Resumed(failed, allowed)
 			if held {
 				result.Quarantined = !allowed
@@ -139,12 +143,14 @@
 }
 
 // clearSuspicion reports a response to the quarantine, which clears the call's content of
-// suspicion: the target has executed the request and survived. Server errors don't clear it,
+// suspicion, but not the same content of other callers: the target has executed the request and survived. Server errors don't clear it,
 // because the target may have refused the request without executing it.
 func (c *call) clearSuspicion(response *fasthttp.Response) {
 	keeper := c.gateway.quarantine
 	if keeper == nil || !keeper.HasSuspects() || response.StatusCode() >= fasthttp.StatusInternalServerError {
 		return
 	}
-	keeper.RecordEnd(time.Now(), c.content(), true)
+	id := c.identity()
+	keeper.RecordEnd(time.Now(), id.Content, true)
+	keeper.RecordEnd(time.Now(), id.ByCaller, true)
 }
--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -94,40 +94,38 @@
 	})
 }
 
-// Standing returns whether requests with the content may be sent.
-func (c *Coordinator) Standing(now time.Time, content Content) Standing {
+// Standing returns whether a request may be sent.
+func (c *Coordinator) Standing(now time.Time, id Identity) Standing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.tracker.Quarantined(now, content):
+	case c.tracker.quarantinedEither(now, id):
 		return Quarantined
-	case c.claims.blocks(now, content):
+	case c.claims.blocks(now, id.Content):
 		return Undecided
-	case c.tracker.Suspected(now, content):
+	case c.tracker.Suspected(now, id.Content), c.tracker.Suspected(now, id.ByCaller):
 		return Suspected
 	}
 	return Unsuspected
 }
 
-// Claim asks the other daemons whether suspected content may be sent. It calls resume once,
+// Claim asks the other daemons whether a suspected request may be sent. It calls resume once,
 // with true if its number of deaths is known to be below the limit and no other request with
-// the content is being sent by a claim. The caller must then call Release when the request has
-// ended at its targets.
-func (c *Coordinator) Claim(now time.Time, content Content, resume func(granted bool)) {
+// the content is being sent by a claim. The caller must then call Release with the content when
+// the request has ended at its targets.
+func (c *Coordinator) Claim(now time.Time, id Identity, resume func(granted bool)) {
 	var suspect Suspect
 	claimed := false
 	c.update(func() []RetryDecision {
-		if found := c.tracker.find(now, content); found != nil {
-			suspect = c.tracker.copy(found)
-			claimed = !c.claims.isChecked(content) && c.claims.acquire(now, content)
-		}
+		suspect = c.tracker.describe(now, id)
+		claimed = len(suspect.Deaths) > 0 && !c.claims.isChecked(id.Content) && c.claims.acquire(now, id.Content)
 		return nil
 	})
 	if !claimed {
 		resume(false)
 		return
 	}
-	c.peers.Announce(suspect, func(answers Answers) { resume(c.confirm(content, answers)) })
+	c.peers.Announce(suspect, func(answers Answers) { resume(c.confirm(id, answers)) })
 }
 
 // Release ends a claim.
@@ -140,12 +138,12 @@
 
 // confirm decides whether the holder of a claim may send, by the answers of the other daemons.
 // It releases the claim if not.
-func (c *Coordinator) confirm(content Content, answers Answers) bool {
+func (c *Coordinator) confirm(id Identity, answers Answers) bool {
 	granted := false
 	c.update(func() []RetryDecision {
-		granted = answers.Complete && !answers.Claimed && !c.tracker.Quarantined(time.Now(), content)
+		granted = answers.Complete && !answers.Claimed && !c.tracker.quarantinedEither(time.Now(), id)
 		if !granted {
-			delete(c.claims.held, content)
+			delete(c.claims.held, id.Content)
 		}
 		return nil
 	})
--- a/internal/quarantine/claim_test.go
+++ b/internal/quarantine/claim_test.go
@@ -80,11 +80,11 @@
 func (n *lateNetwork) arrive(daemon int) {
 	n.now = n.now.Add(time.Millisecond)
 	d := n.daemons[daemon]
-	switch d.Standing(n.now, crashing) {
+	switch d.Standing(n.now, Identity{Content: crashing}) {
 	case Unsuspected:
 		n.run(d, false)
 	case Suspected:
-		d.Claim(n.now, crashing, func(granted bool) {
+		d.Claim(n.now, Identity{Content: crashing}, func(granted bool) {
 			if granted {
 				n.run(d, true)
 			}
@@ -134,7 +134,7 @@
 	granted := 0
 	for _, d := range n.daemons {
 		d.Merge(n.now, []Suspect{suspect})
-		d.Claim(n.now, crashing, func(ok bool) {
+		d.Claim(n.now, Identity{Content: crashing}, func(ok bool) {
 			if ok {
 				granted++
 			}
@@ -161,7 +161,7 @@
 	}
 	require.True(t, holder.Holds())
 	coordinator.Release(7)
-	require.Equal(t, Suspected, coordinator.Standing(now, 7))
+	require.Equal(t, Suspected, coordinator.Standing(now, Identity{Content: 7}))
 }
 
 // A claim whose holder never releases it must not block the content for good.
@@ -171,9 +171,9 @@
 	peers.coordinator = coordinator
 	now := time.Now()
 	coordinator.Merge(now, []Suspect{{Content: 7, Deaths: []Death{{Target: "target-1", SentAt: now.Add(-time.Second), At: now}}}})
-	coordinator.Claim(now, 7, func(granted bool) { require.True(t, granted) })
-	require.Equal(t, Undecided, coordinator.Standing(now.Add(claimTimeout-time.Second), 7))
-	require.Equal(t, Suspected, coordinator.Standing(now.Add(claimTimeout), 7))
+	coordinator.Claim(now, Identity{Content: 7}, func(granted bool) { require.True(t, granted) })
+	require.Equal(t, Undecided, coordinator.Standing(now.Add(claimTimeout-time.Second), Identity{Content: 7}))
+	require.Equal(t, Suspected, coordinator.Standing(now.Add(claimTimeout), Identity{Content: 7}))
 }
 
 // A claim that was refused or released can be acquired again.
@@ -184,14 +184,14 @@
 	now := time.Now()
 	coordinator.Merge(now, []Suspect{{Content: 7, Deaths: []Death{{Target: "target-1", SentAt: now.Add(-time.Second), At: now}}}})
 	claim := func() (granted bool) {
-		coordinator.Claim(now, 7, func(ok bool) { granted = ok })
+		coordinator.Claim(now, Identity{Content: 7}, func(ok bool) { granted = ok })
 		return granted
 	}
 	require.True(t, claim())
-	require.Equal(t, Undecided, coordinator.Standing(now, 7))
+	require.Equal(t, Undecided, coordinator.Standing(now, Identity{Content: 7}))
 	require.False(t, claim())
 	coordinator.Release(7)
-	require.Equal(t, Suspected, coordinator.Standing(now, 7))
+	require.Equal(t, Suspected, coordinator.Standing(now, Identity{Content: 7}))
 	require.True(t, claim())
 }
 
@@ -200,7 +200,7 @@
 	n := newLateNetwork(1)
 	d := n.daemons[0]
 	d.Merge(n.now, []Suspect{{Content: 7, Deaths: []Death{{Target: "target-1", SentAt: n.now.Add(-time.Second), At: n.now}}}})
-	d.Claim(n.now, 7, func(granted bool) { require.False(t, granted) })
+	d.Claim(n.now, Identity{Content: 7}, func(granted bool) { require.False(t, granted) })
 	d.Lift(7)
 	n.deliver(0)
 	require.False(t, d.HasSuspects())
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -92,15 +92,26 @@
 // dead target at different targets. Now is when the target closed the connection. A retry is
 // allowed by a claim, see Claim, which the request keeps if it holds it already.
 func (c *Coordinator) RecordDeath(now time.Time, failed *FailedRequest) {
-	var suspect Suspect
+	var suspect, byCaller Suspect
 	claimed := false
+	toldAt := time.Now()
 	c.update(func() []RetryDecision {
 		suspect = c.tracker.RecordDeath(now, failed)
-		claimed = failed.HoldsClaim || c.claims.acquire(time.Now(), failed.Content)
+		if failed.ByCaller != 0 {
+			byCaller = c.tracker.RecordDeathByCaller(now, failed)
+		}
+		claimed = failed.HoldsClaim || c.claims.acquire(toldAt, failed.Content)
 		return nil
 	})
+	if failed.ByCaller != 0 {
+		byCaller.ToldAt = toldAt
+		// One quarantine is enough to be stored.
+		byCaller.Quarantined = byCaller.Quarantined && !suspect.Quarantined
+		c.peers.Announce(byCaller, func(Answers) {})
+	}
+	suspect.ToldAt = toldAt
 	c.peers.Announce(suspect, func(answers Answers) {
-		failed.Resume(claimed && c.confirm(failed.Content, answers))
+		failed.Resume(claimed && c.confirm(failed.identity(), answers))
 	})
 }
 
@@ -142,7 +153,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, suspect := range suspects {
-		claimed = claimed || c.claims.blocks(now, suspect.Content)
+		claimed = claimed || c.claims.blocks(now, suspect.shared())
 	}
 	return c.tracker.Lookup(now, suspects), claimed
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -38,11 +38,23 @@
 // Content is a fingerprint that identifies the content of a request.
 type Content uint64
 
+// Identity identifies a request in two ways. A request that crashes whatever target runs it may come
+// from many callers, and one that crashes targets only for one caller must not be cleared by the
+// responses to others.
+type Identity struct {
+	// Content identifies what is requested, whoever requests it.
+	Content Content
+	// ByCaller identifies the content together with its caller. 0 if callers aren't told apart.
+	ByCaller Content
+}
+
 // FailedRequest is a request whose target died while running it.
 type FailedRequest struct {
 	Content Content
-	Service string
-	Type    string
+	// ByCaller is that of Identity.
+	ByCaller Content
+	Service  string
+	Type     string
 	// Target is the name of the target that died.
 	Target string
 	// SentAt is when the request was sent to the target.
@@ -54,6 +66,10 @@
 	Resume func(allowed bool)
 }
 
+func (f *FailedRequest) identity() Identity {
+	return Identity{Content: f.Content, ByCaller: f.ByCaller}
+}
+
 // Tracker holds the suspects that one daemon knows. It is not safe for concurrent use.
 type Tracker struct {
 	suspects map[Content]*Suspect
@@ -73,6 +89,23 @@
 	return suspect != nil && t.causedDeaths(suspect)
 }
 
+// quarantinedEither reports whether a request must not be run, by its content or by its content and
+// caller.
+func (t *Tracker) quarantinedEither(now time.Time, id Identity) bool {
+	return t.Quarantined(now, id.Content) || t.Quarantined(now, id.ByCaller)
+}
+
+// describe returns the suspect by which other daemons are asked about a request: that of its
+// content, or that of its content and caller if only that one is suspected.
+func (t *Tracker) describe(now time.Time, id Identity) Suspect {
+	for _, content := range []Content{id.Content, id.ByCaller} {
+		if suspect := t.find(now, content); suspect != nil {
+			return t.copy(now, suspect)
+		}
+	}
+	return Suspect{}
+}
+
 // causedDeaths reports whether the suspect has reached the limit of deaths and no other
 // suspect explains all of them.
 func (t *Tracker) causedDeaths(suspect *Suspect) bool {
@@ -82,7 +115,7 @@
 		return count > DeathLimit
 	}
 	for _, other := range t.suspects {
-		if other != suspect && other.presentAtAll(deaths) {
+		if !other.isRelated(suspect) && other.presentAtAll(deaths) {
 			return false
 		}
 	}
@@ -133,18 +166,29 @@
 // suspect to announce to other daemons. It does not queue a retry: callers use it when
 // they retry the requests of a dead target at different targets.
 func (t *Tracker) RecordDeath(now time.Time, failed *FailedRequest) Suspect {
-	delete(t.lifted, failed.Content)
-	suspect := t.findOrAdd(now, failed)
+	return t.record(now, Suspect{Content: failed.Content, Service: failed.Service, Type: failed.Type}, failed)
+}
+
+// RecordDeathByCaller is RecordDeath for the content together with its caller.
+func (t *Tracker) RecordDeathByCaller(now time.Time, failed *FailedRequest) Suspect {
+	return t.record(now, Suspect{Content: failed.ByCaller, Of: failed.Content, Service: failed.Service, Type: failed.Type}, failed)
+}
+
+func (t *Tracker) record(now time.Time, described Suspect, failed *FailedRequest) Suspect {
+	delete(t.lifted, described.Content)
+	suspect := t.findOrAdd(now, described)
 	suspect.add(Death{Target: failed.Target, SentAt: failed.SentAt, At: now})
-	return t.copy(suspect)
+	return t.copy(now, suspect)
 }
 
-func (t *Tracker) findOrAdd(now time.Time, failed *FailedRequest) *Suspect {
-	suspect := t.find(now, failed.Content)
+// findOrAdd returns the suspect with the content of the described one, which it adds without deaths
+// if there is none.
+func (t *Tracker) findOrAdd(now time.Time, described Suspect) *Suspect {
+	suspect := t.find(now, described.Content)
 	if suspect == nil {
 		t.makeRoom()
-		suspect = &Suspect{Content: failed.Content, Service: failed.Service, Type: failed.Type}
-		t.suspects[failed.Content] = suspect
+		suspect = &Suspect{Content: described.Content, Of: described.Of, Service: described.Service, Type: described.Type}
+		t.suspects[described.Content] = suspect
 	}
 	return suspect
 }
@@ -163,24 +207,24 @@
 	delete(t.suspects, oldest.Content)
 }
 
-// copy returns a deep copy of a suspect with Quarantined set.
-func (t *Tracker) copy(s *Suspect) Suspect {
+// copy returns a deep copy of a suspect with Quarantined and ToldAt set.
+func (t *Tracker) copy(now time.Time, s *Suspect) Suspect {
 	copied := *s
 	copied.Deaths = append([]Death(nil), s.Deaths...)
 	copied.Quarantined = t.causedDeaths(s)
+	copied.ToldAt = now
 	return copied
 }
 
 // Merge adds the deaths of suspects received from another daemon and returns the retries
-// that they decide. Death times are compared with this daemon's clock.
+// that they decide.
 func (t *Tracker) Merge(now time.Time, suspects []Suspect) []RetryDecision {
 	var decisions []RetryDecision
 	for _, received := range suspects {
-		failed := &FailedRequest{Content: received.Content, Service: received.Service, Type: received.Type}
 		if len(received.Deaths) == 0 || received.Expired(now) || t.liftedLately(now, received.Content) {
 			continue
 		}
-		suspect := t.findOrAdd(now, failed)
+		suspect := t.findOrAdd(now, received)
 		before := t.causedDeaths(suspect)
 		for _, death := range received.Deaths {
 			suspect.add(death)
@@ -199,16 +243,16 @@
 	for content := range t.suspects {
 		suspect := t.find(now, content)
 		if suspect != nil && concerns(suspect, suspects) {
-			known = append(known, t.copy(suspect))
+			known = append(known, t.copy(now, suspect))
 		}
 	}
 	return known
 }
 
-// concerns reports whether a suspect has the content or one of the deaths of given ones.
+// concerns reports whether a suspect is related to given ones or has one of their deaths.
 func concerns(suspect *Suspect, given []Suspect) bool {
 	for i := range given {
-		if suspect.Content == given[i].Content || suspect.sharesDeath(&given[i]) {
+		if suspect.isRelated(&given[i]) || suspect.sharesDeath(&given[i]) {
 			return true
 		}
 	}
@@ -223,7 +267,7 @@
 		return false
 	}
 	for _, other := range t.suspects {
-		if other != suspect && other.sharesDeath(suspect) {
+		if !other.isRelated(suspect) && other.sharesDeath(suspect) {
 			return true
 		}
 	}
@@ -255,7 +299,7 @@
 	var suspects []Suspect
 	for content := range t.suspects {
 		if suspect := t.find(now, content); suspect != nil {
-			suspects = append(suspects, t.copy(suspect))
+			suspects = append(suspects, t.copy(now, suspect))
 		}
 	}
 	sort.Slice(suspects, func(i, j int) bool {
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -35,13 +35,31 @@
 // Suspect is the content of a request that was at a target when it died.
 type Suspect struct {
 	Content Content `json:"content,string"`
+	// Of is the content that any caller may send, if Content also identifies the caller. Both then
+	// have the deaths of the same requests.
+	Of      Content `json:"of,omitempty,string"`
 	Service string  `json:"service"`
 	Type    string  `json:"type"`
 	Deaths  []Death `json:"deaths"`
 	// Quarantined is set once the limit is reached.
 	Quarantined bool `json:"quarantined"`
+	// ToldAt is when the sender of a message composed it, by the clock of the deaths' times. It is
+	// zero for suspects that are stored.
+	ToldAt time.Time `json:"told,omitzero"`
 }
 
+// shared returns the content that any caller may send.
+func (s *Suspect) shared() Content {
+	if s.Of != 0 {
+		return s.Of
+	}
+	return s.Content
+}
+
+// isRelated reports whether both stand for the same requests, so that neither explains the deaths of
+// the other.
+func (s *Suspect) isRelated(other *Suspect) bool { return s.shared() == other.shared() }
+
 // lastDeath returns the time of the latest death.
 func (s *Suspect) lastDeath() time.Time {
 	var last time.Time
