Compare the times of deaths by one clock

Cause: a message carries the times of deaths by the sender's clock, and the receiver compared them with its own. Now it carries the time at which it was composed as well; if that is ahead of the receiver's clock, or further behind than a message takes (1 s), the receiver moves the times of the deaths by the difference. Stored suspects carry no such time: they are old when they are read.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -221,6 +221,7 @@
 func (t *Tracker) Merge(now time.Time, suspects []Suspect) []RetryDecision {
 	var decisions []RetryDecision
 	for _, received := range suspects {
+		received = received.adjusted(now)
 		if len(received.Deaths) == 0 || received.Expired(now) || t.liftedLately(now, received.Content) {
 			continue
 		}
