--- a/internal/feed/targets.go
+++ b/internal/feed/targets.go
@@ -64,7 +64,7 @@
 	m.targets = make(map[string]listedTarget, len(objects))
 	m.missing = map[string]time.Time{}
 	for _, object := range objects {
-		m.put(object)
+		m.put(object, previous[object.Name])
 	}
 	m.departures.liftUnlisted(m.targets)
 	if gap == Restore {
@@ -139,7 +139,7 @@
 			m.remove(event.Object.Name)
 			continue
 		}
-		m.put(event.Object)
+		m.put(event.Object, m.targets[event.Object.Name])
 	}
 	m.publish()
 }
@@ -152,9 +152,9 @@
 	delete(m.targets, name)
 }
 
-// put stores the target of an object. If the object can't be decoded, its target is
-// removed.
-func (m *TargetMirror) put(object Object) {
+// put stores the target of an object in place of the previous one. If the object can't be decoded,
+// its target is removed.
+func (m *TargetMirror) put(object Object, previous listedTarget) {
 	name := object.Name
 	service, info, err := m.decode(object)
 	if err != nil {
@@ -162,6 +162,11 @@
 		delete(m.targets, name)
 		return
 	}
+	if precedesDraining(previous.info, info) {
+		m.log.WithField("target", name).WithField("sequence", info.Sequence).Info("report from before the target began to drain; it is ignored")
+		m.targets[name] = previous
+		return
+	}
 	switch {
 	case info.Draining:
 	case !m.departures.isBarred(info):
@@ -173,6 +178,13 @@
 	m.targets[name] = listedTarget{service: service, info: info}
 }
 
+// precedesDraining reports whether a listed target is a report from before the previous one, in which
+// the same incarnation said that it drains. The store may execute a write late whose answer was lost.
+func precedesDraining(previous, listed placement.TargetInfo) bool {
+	return previous.Draining && !listed.Draining && listed.Incarnation != 0 &&
+		listed.Incarnation == previous.Incarnation && listed.Sequence < previous.Sequence
+}
+
 // publish hands on the targets by service. The lock is held.
 func (m *TargetMirror) publish() {
 	listed := map[string][]placement.TargetInfo{}
--- a/internal/feed/targets_test.go
+++ b/internal/feed/targets_test.go
@@ -81,7 +81,10 @@
 	decode := func(object Object) (string, placement.TargetInfo, error) {
 		info := placement.TargetInfo{ID: object.Name}
 		var state string
-		_, err := fmt.Sscanf(string(object.Spec), "%d %s", &info.Incarnation, &state)
+		count, err := fmt.Sscanf(string(object.Spec), "%d %s %d", &info.Incarnation, &state, &info.Sequence)
+		if count == 2 {
+			err = nil
+		}
 		info.Draining = state == "draining"
 		return "stock", info, err
 	}
@@ -92,6 +95,37 @@
 	return NewTargetMirror(decode, onChange, logging.Discard()), usable
 }
 
+// reported is an incarnation object with a sequence.
+func reported(born int64, state string, sequence int64) Object {
+	return Object{Name: "i-1", Spec: fmt.Appendf(nil, "%d %s %d", born, state, sequence)}
+}
+
+// The store may execute a target's report late, after a newer one said that it drains. The old report
+// must not bring the target back into use, in a watch or in a list.
+func TestLateReportDoesNotUndoDraining(t *testing.T) {
+	late := reported(1, "ready", 2)
+	for way, receive := range map[string]func(m *TargetMirror){
+		"watch": func(m *TargetMirror) { m.Apply([]Event{{Object: late}}) },
+		"list":  func(m *TargetMirror) { m.Reset([]Object{late}, NoGap) },
+	} {
+		t.Run(way, func(t *testing.T) {
+			m, usable := newIncarnationMirror()
+			m.Reset([]Object{reported(1, "ready", 4)}, NoGap)
+			require.True(t, <-usable)
+			m.Apply([]Event{{Object: reported(1, "draining", 5)}})
+			require.False(t, <-usable)
+			receive(m)
+			require.False(t, <-usable)
+			m.Apply([]Event{{Object: reported(1, "ready", 6)}})
+			require.True(t, <-usable, "a newer report counts")
+			m.Apply([]Event{{Object: reported(1, "draining", 7)}})
+			require.False(t, <-usable)
+			m.Apply([]Event{{Object: reported(2, "ready", 1)}})
+			require.True(t, <-usable, "a new incarnation counts anew")
+		})
+	}
+}
+
 func TestDepartedTargetIsNotUsedAfterRestore(t *testing.T) {
 	ready, draining := incarnation(1, "ready"), incarnation(1, "draining")
 	leave := map[string]func(m *TargetMirror){
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -30,6 +30,8 @@
 	ID string
 	// Incarnation distinguishes successive starts of a target with the same ID.
 	Incarnation int64
+	// Sequence grows with each report of the target within an incarnation. 0 means unknown.
+	Sequence int64
 	// Address is the "ip:port" that serves requests.
 	Address string
 	Zone    string
