Don't believe fields behind a response's body

Callers saw (in a test): a booking that had run was refused with 503 as not run, when the target's chunked response carried Poplarwheel-Not-Executed in its trailer; callers then send it again.

Cause: fasthttp adds trailers to the response's header, from which the dialect reads the request's ID, the signature and whether the request has run. Trailers are decoded into a header of their own now and dropped; they must still be valid.

--- a/internal/targetclient/receiver.go
+++ b/internal/targetclient/receiver.go
@@ -206,7 +206,8 @@
 	return 0, nil
 }
 
-// decodeChunks decodes a complete chunked body with its trailers.
+// decodeChunks decodes a complete chunked body. Its trailers must be valid, and are dropped: they
+// must not change what the header says.
 func (r *receiver) decodeChunks(body []byte) error {
 	trailerBytes := len(body) - r.chunks.TrailerStart()
 	reader := headerreader.Acquire(body, max(trailerBytes, framing.MaxChunkLineBytes))
@@ -215,7 +216,8 @@
 	if err := r.response.ReadBody(reader.Buffered, MaxResponseBytes); err != nil {
 		return &MalformedError{Cause: err}
 	}
-	if err := r.response.Header.ReadTrailer(reader.Buffered); err != nil {
+	var trailer fasthttp.ResponseHeader
+	if err := trailer.ReadTrailer(reader.Buffered); err != nil {
 		return &MalformedError{Cause: err}
 	}
 	if reader.Unread() > 0 {
--- a/internal/targetclient/receiver_test.go
+++ b/internal/targetclient/receiver_test.go
@@ -187,7 +187,7 @@
 
 // FuzzReceiver checks that any split of any bytes gives the same result as the bytes whole.
 func FuzzReceiver(f *testing.F) {
-	for _, seed := range []string{sizedMessage, chunkedMessage, interimMessage, openMessage, "HTTP/1.1 2x0\r\n\r\n", "HTTP/1.1 204 N\r\n\r\nrest"} {
+	for _, seed := range []string{sizedMessage, chunkedMessage, interimMessage, openMessage, "HTTP/1.1 2x0\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1  200\r\n\r\n", "HTTP/1.1 204 N\r\n\r\nrest"} {
 		f.Add([]byte(seed), uint8(0))
 		f.Add([]byte(seed), uint8(10))
 	}
@@ -251,6 +251,41 @@
 	}
 }
 
+// A status has three digits. fasthttp reads any number, and one below 200 would be taken for an interim
+// response, so that the body that follows it would be taken for the next header.
+func TestStatusWithoutThreeDigitsIsMalformed(t *testing.T) {
+	for _, status := range []string{"2", "20", "2000", "20000", "1000", "0200", "00200", "+200", "-200", "2 00", "20 0", "200.0", "0x200", "2e2", "1", "10", ""} {
+		r := newReceiver()
+		_, _, err := receivePieces(r, "HTTP/1.1 "+status+" OK\r\nContent-Length: 5\r\n\r\nhello")
+		require.Error(t, err, "%q", status)
+		require.Nil(t, r.finishAtClose(), "%q", status)
+	}
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 404 No Such Thing 000", "HTTP/1.1 599 000"} {
+		response, _, err := receivePieces(newReceiver(), line+"\r\nContent-Length: 5\r\n\r\nhello")
+		require.NoError(t, err, "%q", line)
+		require.Equal(t, line[9:12], fmt.Sprint(response.StatusCode()), "%q", line)
+	}
+}
+
+// Fields behind the body must not change what the response says of itself: fasthttp adds them to its
+// header, where they could name another request or claim that the request has not run.
+func TestTrailerIsNoPartOfTheHeader(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Request: a\r\n\r\n"
+	for _, trailer := range []string{"X-Request: b", "X-Not-Run: 1", "Status: 000", "X-Signature: s"} {
+		response, _, err := receivePieces(newReceiver(), header+"5\r\nhello\r\n0\r\n"+trailer+"\r\n\r\n")
+		require.NoError(t, err, trailer)
+		require.Equal(t, "hello", string(response.Body()), trailer)
+		name, value, _ := strings.Cut(trailer, ": ")
+		for _, got := range response.Header.PeekAll(name) {
+			require.NotEqual(t, value, string(got), trailer)
+		}
+	}
+	for _, trailer := range []string{"HTTP/1.1 000 OK", "000", ":status: 000", "Content-Length: 3"} {
+		_, _, err := receivePieces(newReceiver(), header+"5\r\nhello\r\n0\r\n"+trailer+"\r\n\r\n")
+		require.Error(t, err, trailer)
+	}
+}
+
 // A header ends only with an empty line of CR LF. What a target sent of it before it closed the
 // connection is no response, and lengths that may be truncated or doubtful are none either.
 func TestUnfinishedHeaderIsNoResponse(t *testing.T) {
