Store a quarantine that other daemons' answers complete

A daemon stores a content when it announces it as quarantined. Where the limit was reached only by a death that another daemon told in its answer, none announced it so: both had one death when they announced. After a restart of all daemons the request could crash targets anew. The daemon announces the suspect once more when the answers have quarantined it.

TestQuarantineByAnswersIsAnnounced failed before (one announcement, not quarantined).

--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -60,7 +60,10 @@
 		suspect = recorded
 		return decisions
 	})
-	c.peers.Announce(suspect, func(Answers) { c.settle(decisions) })
+	c.peers.Announce(suspect, func(Answers) {
+		c.announceQuarantine(suspect)
+		c.settle(decisions)
+	})
 }
 
 // settle rechecks decisions after the other daemons have answered, and resumes the requests. A
@@ -111,10 +114,27 @@
 	}
 	suspect.ToldAt = toldAt
 	c.peers.Announce(suspect, func(answers Answers) {
+		c.announceQuarantine(suspect)
 		failed.Resume(claimed && c.confirm(failed.identity(), answers))
 	})
 }
 
+// announceQuarantine announces a suspect once more if the answers to its announcement have quarantined
+// it: daemons store only what is announced as quarantined, and none of them may have known all deaths.
+func (c *Coordinator) announceQuarantine(announced Suspect) {
+	if announced.Quarantined {
+		return
+	}
+	var suspect Suspect
+	c.update(func() []RetryDecision {
+		suspect = c.tracker.describe(time.Now(), Identity{Content: announced.Content})
+		return nil
+	})
+	if suspect.Quarantined {
+		c.peers.Announce(suspect, func(Answers) {})
+	}
+}
+
 // recheck decides again, by the deaths that other daemons have told since.
 func (c *Coordinator) recheck(decisions []RetryDecision) []RetryDecision {
 	return c.update(func() []RetryDecision {
--- a/internal/quarantine/coordinator_test.go
+++ b/internal/quarantine/coordinator_test.go
@@ -45,6 +45,32 @@
 	require.Equal(t, []bool{false}, allowed)
 }
 
+// recordingPeers also records the announcements.
+type recordingPeers struct {
+	respondingPeers
+	announced []Suspect
+}
+
+// Announce implements Peers.
+func (p *recordingPeers) Announce(suspect Suspect, done func(Answers)) {
+	p.announced = append(p.announced, suspect)
+	p.respondingPeers.Announce(suspect, done)
+}
+
+// A content that reaches the limit only by the deaths that another daemon answers must be announced
+// as quarantined: it would be stored by nobody, and forgotten when all daemons restart.
+func TestQuarantineByAnswersIsAnnounced(t *testing.T) {
+	now := time.Now()
+	earlier := Death{Target: "target-1", SentAt: now.Add(-2 * time.Second), At: now.Add(-time.Second)}
+	peers := &recordingPeers{respondingPeers: respondingPeers{known: []Suspect{{Content: 7, Deaths: []Death{earlier}}}}}
+	coordinator := NewCoordinator(peers)
+	peers.coordinator = coordinator
+	coordinator.RecordDeath(now, &FailedRequest{Content: 7, Target: "target-2", SentAt: now.Add(-time.Millisecond), Resume: func(bool) {}})
+	require.Len(t, peers.announced, 2)
+	require.False(t, peers.announced[0].Quarantined)
+	require.True(t, peers.announced[1].Quarantined)
+}
+
 // If the peers know nothing of the content, it may be retried.
 func TestRetryIsAllowedAfterFirstDeath(t *testing.T) {
 	peers := &respondingPeers{}
