Require the keys of workspaces at the gateway

The configuration of the platform may list workspaces with keys. Without them every caller could use every route, and targets would see whatever workspace name a caller claimed.

The gateway looks up the key of each request after its route is found and refuses requests without a known key with 401. The header of an incomplete request is checked before its body is received, so that a large body without a key takes no memory. Targets get the name of the workspace in place of the key.

Responses of the daemon to HEAD requests no longer have a body, which the caller would take for the start of the next response.

--- a/internal/callerserver/requests.go
+++ b/internal/callerserver/requests.go
@@ -54,6 +54,9 @@
 		return false, s.reject(conn, state, err)
 	}
 	if request == nil {
+		if s.refuseByHeader(conn, state, buffered, limits) {
+			return false, gnet.None
+		}
 		s.sendContinue(conn, state, buffered, limits)
 		if state.exchange != nil {
 			return false, gnet.None
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -40,6 +40,10 @@
 	a.request.Header.SetNoDefaultContentType(true)
 	stripHopHeaders(&a.request.Header)
 	a.request.Header.Del(fasthttp.HeaderExpect)
+	if c.replacesKey() {
+		// After stripHopHeaders: a Connection header may name the one with the workspace.
+		c.gateway.options.Dialect.SetWorkspace(a.request, c.workspaceName())
+	}
 	c.gateway.options.Dialect.SetTargetHeaders(a.request, target.ID, c.placed.Deadline.Sub(now))
 	c.gateway.counts.Sent++
 	c.sending++
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -28,6 +28,10 @@
 	request  *fasthttp.Request
 	route    *route.Route
 	state    *routeState
+	// workspace is that of the call's key, or nil without one.
+	workspace *route.Workspace
+	// keysRequired is set if the configuration required keys when the call arrived.
+	keysRequired bool
 	// placed is the request as the service's pool knows it.
 	placed  placement.Request
 	timeout *timer
@@ -71,8 +75,13 @@
 		g.refuseUnplaced(request, exchange, fasthttp.StatusNotFound, reasonNoRoute)
 		return
 	}
+	workspace, refusal := g.authenticate(request, r)
+	if refusal != "" {
+		exchange.ReplyOnLoop(g.newUnauthenticatedResponse(request, refusal))
+		return
+	}
 	g.routed.Add(1)
-	c := g.newCall(request, exchange, r)
+	c := g.newCall(request, exchange, r, workspace)
 	if g.drain.refuses(c.started, c.placed.Deadline) {
 		g.refuseUnplaced(request, exchange, fasthttp.StatusServiceUnavailable, reasonDraining)
 		return
@@ -88,13 +97,23 @@
 	}
 	g.timers.set(c.timeout, c.placed.Deadline)
 	exchange.WatchCaller(c)
-	switch {
-	case c.done:
-	case standing == quarantine.Suspected:
+	if !c.done {
+		c.admit(standing)
+	}
+}
+
+// admit is where the quota of the call's workspace is checked, before the call is placed. There
+// is no quota yet.
+func (c *call) admit(standing quarantine.Standing) { c.place(standing) }
+
+// place submits the call, if need be after other daemons have confirmed that its content may be
+// sent.
+func (c *call) place(standing quarantine.Standing) {
+	if standing == quarantine.Suspected {
 		c.awaitClaim()
-	default:
-		c.submit()
+		return
 	}
+	c.submit()
 }
 
 // submit passes the call to the pool of its service.
@@ -102,7 +121,7 @@
 	c.gateway.perform(c.service, c.service.pool.Submit(time.Now(), &c.placed))
 }
 
-func (g *Gateway) newCall(request *fasthttp.Request, exchange *callerserver.Exchange, r *route.Route) *call {
+func (g *Gateway) newCall(request *fasthttp.Request, exchange *callerserver.Exchange, r *route.Route, workspace *route.Workspace) *call {
 	now := time.Now()
 	state := g.stateOf(r)
 	callerTimeout, known := g.options.Dialect.CallerTimeout(request)
@@ -121,13 +140,15 @@
 		request:       request,
 		route:         r,
 		state:         state,
+		workspace:     workspace,
+		keysRequired:  g.table.RequiresKeys(),
 		started:       now,
 		callerTimeout: callerTimeout,
 	}
 	c.placed = placement.Request{
 		Idempotent:   r.Idempotent,
 		MaxAttempts:  r.MaxAttempts,
-		Priority:     r.Priority,
+		Priority:     priorityOf(r, workspace),
 		SoftDeadline: now.Add(r.Objective - elapsed),
 		Deadline:     now.Add(min(callerTimeout, r.Timeout)),
 		ServiceTime:  state.serviceTime,
@@ -138,6 +159,15 @@
 	return c
 }
 
+// priorityOf returns the priority of a request: that of its workspace if it has one, else that of
+// the route.
+func priorityOf(r *route.Route, workspace *route.Workspace) int {
+	if workspace != nil && workspace.Priority != nil {
+		return *workspace.Priority
+	}
+	return r.Priority
+}
+
 func (c *call) timedOut(now time.Time) {
 	c.gateway.perform(c.service, c.service.pool.Timeout(now, &c.placed))
 }
@@ -193,7 +223,7 @@
 func (c *call) refuse(action placement.Action) {
 	c.gateway.counts.Refused++
 	c.gateway.log.notServed(c, fasthttp.StatusServiceUnavailable, action.Reason)
-	response := newErrorResponse(fasthttp.StatusServiceUnavailable, string(action.Reason))
+	response := newErrorResponse(c.request, fasthttp.StatusServiceUnavailable, string(action.Reason))
 	remaining := c.callerTimeout - time.Since(c.started)
 	setRetryAfter(response, min(action.RetryAfter, remaining/retryAfterDivisor))
 	c.exchange.ReplyOnLoop(response)
@@ -210,14 +240,14 @@
 	}
 	c.gateway.counts.Unknown++
 	c.gateway.log.notServed(c, status, action.Reason)
-	c.exchange.ReplyOnLoop(newErrorResponse(status, string(action.Reason)))
+	c.exchange.ReplyOnLoop(newErrorResponse(c.request, status, string(action.Reason)))
 }
 
 // refuseUnplaced refuses a request before it is passed to a pool.
 func (g *Gateway) refuseUnplaced(request *fasthttp.Request, exchange *callerserver.Exchange, status int, reason string) {
 	g.counts.Refused++
 	g.log.notPlaced(g, request, status, reason)
-	response := newErrorResponse(status, reason)
+	response := newErrorResponse(request, status, reason)
 	if status == fasthttp.StatusServiceUnavailable {
 		setRetryAfter(response, retryAfterFor(reason))
 	}
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -19,7 +19,10 @@
 	Refused uint64 `json:"refused"`
 	// NoRoute counts those of the refused requests for which there was no route.
 	NoRoute uint64 `json:"no_route"`
-	Unknown uint64 `json:"unknown"`
+	// Unauthenticated counts those of the refused requests whose key is missing or unknown, by
+	// reason.
+	Unauthenticated map[string]uint64 `json:"unauthenticated,omitempty"`
+	Unknown         uint64            `json:"unknown"`
 	// Disconnected counts callers that disconnected before their response.
 	Disconnected uint64 `json:"gone"`
 	// Sent counts requests sent to targets, Probes health checks including load
@@ -64,6 +67,15 @@
 	c.Elapsed[i]++
 }
 
+// recordUnauthenticated counts a request that is refused because of its key.
+func (c *Counts) recordUnauthenticated(reason string) {
+	c.Refused++
+	if c.Unauthenticated == nil {
+		c.Unauthenticated = map[string]uint64{}
+	}
+	c.Unauthenticated[reason]++
+}
+
 // recordViolation counts a response that was given up, if err reports one.
 func (c *Counts) recordViolation(err error) {
 	violation, ok := targetclient.ViolationOf(err)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -16,6 +16,14 @@
 	CallerTimeout(request *fasthttp.Request) (time.Duration, bool)
 	// RequestID returns the ID of a request for logs.
 	RequestID(request *fasthttp.Request) []byte
+	// CallerKey returns the key that a request carries, and false if it carries none. The key is
+	// valid until the request is changed.
+	CallerKey(request *fasthttp.Request) (key []byte, present bool)
+	// Challenge returns the authentication scheme that callers without a key are told to use.
+	Challenge() string
+	// SetWorkspace tells the target the name of the workspace whose request it gets, or "" for
+	// an anonymous one. It removes the key and a name that the caller has set.
+	SetWorkspace(request *fasthttp.Request, name string)
 	// SetTargetHeaders sets the headers of a request to a target, among them the remaining
 	// time until the deadline.
 	SetTargetHeaders(request *fasthttp.Request, target string, remaining time.Duration)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -18,6 +18,11 @@
 	logLinesPerSecond = 20
 	// logBurst is the number of such lines that may be written at once.
 	logBurst = 60
+	// unauthenticatedLinesPerSecond and unauthenticatedBurst limit the log lines about requests
+	// without a known key. They have a limit of their own: callers without a key could
+	// otherwise suppress the other lines.
+	unauthenticatedLinesPerSecond = 5
+	unauthenticatedBurst          = 20
 )
 
 // eventLog writes a rate-limited log line for each request that is refused, late or of
@@ -26,16 +31,25 @@
 type eventLog struct {
 	log     logrus.FieldLogger
 	limiter *rate.Limiter
+	// unauthenticatedLimiter limits the lines about requests without a known key.
+	unauthenticatedLimiter *rate.Limiter
+
 	dropped int
 }
 
 func newEventLog(log logrus.FieldLogger) *eventLog {
-	return &eventLog{log: log, limiter: rate.NewLimiter(logLinesPerSecond, logBurst)}
+	return &eventLog{
+		log:                    log,
+		limiter:                rate.NewLimiter(logLinesPerSecond, logBurst),
+		unauthenticatedLimiter: rate.NewLimiter(unauthenticatedLinesPerSecond, unauthenticatedBurst),
+	}
 }
 
 // allow reports whether another line may be written, and counts a dropped line if not.
-func (l *eventLog) allow() bool {
-	if l.limiter.Allow() {
+func (l *eventLog) allow() bool { return l.allowBy(l.limiter) }
+
+func (l *eventLog) allowBy(limiter *rate.Limiter) bool {
+	if limiter.Allow() {
 		return true
 	}
 	l.dropped++
@@ -58,6 +72,9 @@
 		"routes":   len(table.Routes()),
 		"services": len(table.Services()),
 
+		"requires_keys": table.RequiresKeys(),
+		"workspaces":    len(table.Workspaces()),
+
 		"header_bytes_limit": table.Limits().HeaderBytes,
 		"body_bytes_limit":   table.Limits().BodyBytes,
 	}).Info("configuration in force")
@@ -173,9 +190,19 @@
 
 // notPlaced logs a request that was refused before it was passed to a pool.
 func (l *eventLog) notPlaced(g *Gateway, request *fasthttp.Request, status int, reason string) {
-	if !l.allow() {
-		return
+	if l.allow() {
+		l.writeNotPlaced(g, request, status, reason)
 	}
+}
+
+// unauthenticated logs a request that was refused because of its key. The key is not logged.
+func (l *eventLog) unauthenticated(g *Gateway, request *fasthttp.Request, reason string) {
+	if l.allowBy(l.unauthenticatedLimiter) {
+		l.writeNotPlaced(g, request, fasthttp.StatusUnauthorized, reason)
+	}
+}
+
+func (l *eventLog) writeNotPlaced(g *Gateway, request *fasthttp.Request, status int, reason string) {
 	l.log.WithFields(logrus.Fields{
 		"request":  string(g.options.Dialect.RequestID(request)),
 		"host":     string(request.Header.Host()),
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -42,9 +42,9 @@
 	return 0
 }
 
-// newErrorResponse returns a response that the daemon generates itself.
-func newErrorResponse(status int, reason string) *fasthttp.Response {
-	response := &fasthttp.Response{}
+// newErrorResponse returns a response to a request that the daemon generates itself.
+func newErrorResponse(request *fasthttp.Request, status int, reason string) *fasthttp.Response {
+	response := &fasthttp.Response{SkipBody: request.Header.IsHead()}
 	response.SetStatusCode(status)
 	response.Header.SetContentType("text/plain")
 	response.SetBodyString(reason + "\n")
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poplarwheel/poplarwheel/internal/placement"
+	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
 // State is a snapshot of a gateway.
@@ -12,6 +13,8 @@
 	// Revision is the revision of the active configuration, or 0 without one.
 	Revision uint64 `json:"revision"`
 	Routes   int    `json:"routes"`
+	// Workspaces are those of the active configuration, without their keys.
+	Workspaces []WorkspaceState `json:"workspaces,omitempty"`
 	// Shares are the daemon's shares of the budgets that all daemons have in common.
 	Shares Shares `json:"shares"`
 	Counts Counts `json:"counts"`
@@ -28,6 +31,18 @@
 	Targets []placement.TargetState `json:"targets"`
 }
 
+// WorkspaceState is a snapshot of a workspace.
+type WorkspaceState struct {
+	Name string `json:"name"`
+	// Keys is the number of its keys.
+	Keys int `json:"keys"`
+	// Priority is that of its requests, nil for that of the route.
+	Priority *int `json:"priority,omitempty"`
+	// RatePerSecond and Burst are the quota over all daemons together, 0 without a limit.
+	RatePerSecond float64 `json:"rate_per_s,omitempty"`
+	Burst         float64 `json:"burst,omitempty"`
+}
+
 // State returns a snapshot, taken on the event loop. It waits while the loop is busy, and
 // returns a zero State after stateTimeout.
 func (g *Gateway) State() State {
@@ -47,8 +62,10 @@
 func (g *Gateway) state(now time.Time) State {
 	state := State{Revision: g.Revision(), Shares: g.shares, Counts: g.counts, ResponseBytes: g.client.BufferedBytes()}
 	state.Counts.Violations = maps.Clone(g.counts.Violations)
+	state.Counts.Unauthenticated = maps.Clone(g.counts.Unauthenticated)
 	if g.table != nil {
 		state.Routes = len(g.table.Routes())
+		state.Workspaces = workspaceStates(g.table.Workspaces())
 	}
 	for name, s := range g.services {
 		service := ServiceState{Name: name, Queued: s.pool.Queued()}
@@ -59,3 +76,17 @@
 	}
 	return state
 }
+
+func workspaceStates(workspaces []*route.Workspace) []WorkspaceState {
+	var states []WorkspaceState
+	for _, w := range workspaces {
+		states = append(states, WorkspaceState{
+			Name:          w.Name,
+			Keys:          len(w.Keys),
+			Priority:      w.Priority,
+			RatePerSecond: w.Quota.Rate,
+			Burst:         w.Quota.Burst,
+		})
+	}
+	return states
+}
--- a/internal/gatewayd/handlers.go
+++ b/internal/gatewayd/handlers.go
@@ -10,7 +10,8 @@
 )
 
 // portDispatcher passes each request to the handler of the local port at which it arrived.
-// It implements callerserver.Handler and callerserver.ConcurrentHandler.
+// It implements callerserver.Handler, callerserver.ConcurrentHandler and
+// callerserver.HeaderHandler.
 type portDispatcher struct {
 	daemon  *Daemon
 	gateway *gateway.Gateway
@@ -35,6 +36,18 @@
 	return p.gateway.MayRunConcurrently(request)
 }
 
+// ChecksHeaders implements callerserver.HeaderHandler.
+func (p *portDispatcher) ChecksHeaders() bool { return p.gateway.ChecksHeaders() }
+
+// RefuseByHeader implements callerserver.HeaderHandler. Only callers need a key.
+func (p *portDispatcher) RefuseByHeader(request *fasthttp.Request, local net.Addr) *fasthttp.Response {
+	switch portOf(local) {
+	case p.directory, p.ready:
+		return nil
+	}
+	return p.gateway.RefuseByHeader(request)
+}
+
 // newPortDispatcher returns the handler for all addresses of the daemon that serve HTTP.
 func (d *Daemon) newPortDispatcher() (*portDispatcher, error) {
 	directory, err := net.ResolveTCPAddr("tcp4", d.settings.DirectoryAddress)
--- a/internal/gatewayd/metrics.go
+++ b/internal/gatewayd/metrics.go
@@ -27,7 +27,7 @@
 	probesDesc              = newDesc("probes_total", "Questions to targets for their load, by result.", "result")
 	queuedDesc              = newDesc("queued", "Requests that wait for a target, by service.", "service")
 	targetsDesc             = newDesc("targets", "Targets, by service and state.", "service", "state")
-	rejectionsDesc          = newDesc("rejections_total", "Requests that were refused because they can't be parsed or have no route, by reason.", "reason")
+	rejectionsDesc          = newDesc("rejections_total", "Requests that were refused because they can't be parsed or have no route or no known key, by reason.", "reason")
 	rejectedConfigsDesc     = newDesc("rejected_configurations_total", "Configurations that were invalid and were not put in force.")
 	revisionDesc            = newDesc("revision", "Revision of the configuration in force.")
 	platformUnavailableDesc = newDesc("platform_away", "1 while the platform doesn't answer.")
@@ -67,6 +67,9 @@
 	counter(answersDesc, counts.Unknown, "unknown")
 	counter(answersDesc, counts.Disconnected, "caller_gone")
 	counter(rejectionsDesc, counts.NoRoute, "no_route")
+	for reason, count := range counts.Unauthenticated {
+		counter(rejectionsDesc, count, reason)
+	}
 	for reason, count := range c.daemon.server.Rejections() {
 		counter(rejectionsDesc, count, reason)
 	}
--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -31,6 +31,7 @@
 const (
 	MissingServiceName   Problem = "a service has no name"
 	DuplicateServiceName Problem = "two services have the same name"
+	InvalidColdStart     Problem = "the cold start and the rate during it must be finite and not negative"
 )
 
 // Problems of a workspace. They don't tell its keys.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -124,6 +124,9 @@
 		if t.services[service.Name] != nil {
 			return &InvalidError{Problem: DuplicateServiceName}
 		}
+		if service.ColdStart < 0 || !isNotNegative(service.ColdRate) {
+			return &InvalidError{Problem: InvalidColdStart}
+		}
 		t.services[service.Name] = service
 	}
 	return nil
--- a/internal/route/workspace.go
+++ b/internal/route/workspace.go
@@ -8,8 +8,9 @@
 // Workspace is a team whose requests carry one of its keys.
 type Workspace struct {
 	Name string
-	// Keys are the keys of its requests. A workspace without keys can't send any.
-	Keys []string
+	// Keys are the keys of its requests. A workspace without keys can't send any. They are
+	// secret and therefore left out of JSON.
+	Keys []string `json:"-"`
 	// Priority replaces that of the route; nil keeps the route's.
 	Priority *int
 	Quota    Quota
