Leave the text of malformed requests out of errors

fasthttp quotes the bytes at which it fails and both ends of the header, so a malformed request with a key put the key into a log line. The errors of the parser now keep only its description of the problem.

--- a/internal/callerserver/parse.go
+++ b/internal/callerserver/parse.go
@@ -130,7 +130,7 @@
 	reader := headerreader.Acquire(header, len(header))
 	defer reader.Release()
 	if err := request.Header.Read(reader.Buffered); err != nil {
-		return malformed(err)
+		return malformed(withoutText(err))
 	}
 	if rest := reader.Unread(); rest > 0 {
 		return malformed(&TrailingBytesError{Bytes: rest})
@@ -202,7 +202,7 @@
 	reader := headerreader.Acquire(body, framing.MaxTrailerBytes)
 	defer reader.Release()
 	if err := request.ContinueReadBody(reader.Buffered, limits.BodyBytes, false); err != nil {
-		return malformed(err)
+		return malformed(withoutText(err))
 	}
 	if rest := reader.Unread(); rest > 0 {
 		return malformed(&TrailingBytesError{Bytes: rest})
