Share a service's targets among the workspaces that wait

A workspace that sends many times its usual load filled the queue, and the requests of all others were refused with its own: the queue was ordered by soft deadline, which gives each workspace a share in proportion to what it sends. Inside one priority the queue now serves the workspace first that has used least of its share, by weight. Requests without a workspace keep their order. The gateway doesn't set workspaces yet.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -29,6 +29,11 @@
 	// times Rate.
 	BurstFactor               float64
 	BurstStart, BurstDuration time.Duration
+	// Workspaces is the number of workspaces, which send at the same rate, or 0 if callers belong
+	// to none. The additional requests of the burst then come from workspace 0.
+	Workspaces int
+	// FairSharing makes the daemons share the targets among the workspaces.
+	FairSharing bool
 	// ServiceTime is the mean execution time of a request at a target of usual speed,
 	// Spread its relative standard deviation.
 	ServiceTime time.Duration
@@ -86,9 +91,11 @@
 	first time.Time
 	// arrived is when this try arrived.
 	arrived time.Time
-	try     int
-	work    time.Duration
-	done    bool
+	// workspace is that of the caller.
+	workspace int
+	try       int
+	work      time.Duration
+	done      bool
 }
 
 // execution is a request at a target.
@@ -136,13 +143,21 @@
 	if elapsed >= s.scenario.ArrivalPeriod {
 		return
 	}
-	rate := s.scenario.Rate
+	burst := 1.0
 	if elapsed >= s.scenario.BurstStart && elapsed < s.scenario.BurstStart+s.scenario.BurstDuration {
-		rate *= s.scenario.BurstFactor
+		burst = s.scenario.BurstFactor
 	}
-	s.schedule(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.nextArrival)
+	s.schedule(time.Duration(s.rng.ExpFloat64()/(burst*s.scenario.Rate)*float64(time.Second)), s.nextArrival)
 	factor := 1 + s.scenario.Spread*s.rng.NormFloat64()
-	s.arrive(&job{first: s.now, work: time.Duration(max(factor, minServiceTimeFactor) * float64(s.scenario.ServiceTime))})
+	s.arrive(&job{first: s.now, workspace: s.anyWorkspace(burst), work: time.Duration(max(factor, minServiceTimeFactor) * float64(s.scenario.ServiceTime))})
+}
+
+// anyWorkspace returns the workspace of an arrival while the rate is burst times the usual one.
+func (s *simulation) anyWorkspace(burst float64) int {
+	if s.scenario.Workspaces == 0 || s.rng.Float64()*burst >= 1 {
+		return 0
+	}
+	return s.rng.IntN(s.scenario.Workspaces)
 }
 
 // minServiceTimeFactor is the minimum service time of a request relative to the mean.
@@ -159,7 +174,7 @@
 		return
 	}
 	j.done = true
-	s.result.answered(j.first.Sub(s.start), s.now.Sub(j.first))
+	s.result.answered(j.workspace, j.first.Sub(s.start), s.now.Sub(j.first))
 }
 
 // refused ends a job without a response. Its caller may retry after the given delay.
@@ -171,10 +186,10 @@
 	remainingTime := s.scenario.CallerTimeout - s.now.Sub(j.first)
 	after = min(after, remainingTime/retryDelayDivisor)
 	if j.try >= s.scenario.MaxRetries || remainingTime-after < j.work {
-		s.result.failed(j.first.Sub(s.start))
+		s.result.failed(j.workspace, j.first.Sub(s.start))
 		return
 	}
-	again := &job{first: j.first, try: j.try + 1, work: j.work}
+	again := &job{first: j.first, workspace: j.workspace, try: j.try + 1, work: j.work}
 	s.schedule(after+2*s.scenario.RemoteDelay, func() { s.arrive(again) })
 }
 
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -128,6 +128,9 @@
 		ServiceTime:  s.scenario.ServiceTime,
 		Payload:      j,
 	}
+	if s.scenario.FairSharing {
+		r.Flow = placement.Flow{Name: strconv.Itoa(j.workspace), Weight: 1}
+	}
 	s.schedule(r.Deadline.Sub(s.now), func() { p.perform(p.pool.Timeout(s.now, r)) })
 	p.perform(p.pool.Submit(s.now, r))
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -26,6 +26,8 @@
 	Scenario Scenario
 	Policy   Policy
 	Windows  []Window
+	// Workspaces counts the callers of each workspace that came in the burst.
+	Workspaces []Window
 	// Probes and Sends count what the daemons sent to targets.
 	Probes, Sends int
 
@@ -33,20 +35,39 @@
 }
 
 func newResult(scenario Scenario, policy Policy) *Result {
-	return &Result{Scenario: scenario, Policy: policy, Windows: make([]Window, int(scenario.ArrivalPeriod/WindowLength)+1)}
+	return &Result{
+		Scenario:   scenario,
+		Policy:     policy,
+		Windows:    make([]Window, int(scenario.ArrivalPeriod/WindowLength)+1),
+		Workspaces: make([]Window, max(scenario.Workspaces, 1)),
+	}
 }
 
-func (r *Result) answered(at, took time.Duration) {
-	window := &r.Windows[int(at/WindowLength)]
-	window.Callers++
-	window.Answered++
-	if took <= r.Scenario.Objective {
-		window.InTime++
+// windowsOf returns the windows that count a caller of a workspace who came at the given time.
+func (r *Result) windowsOf(workspace int, at time.Duration) []*Window {
+	windows := []*Window{&r.Windows[int(at/WindowLength)]}
+	if at >= r.Scenario.BurstStart && at < r.Scenario.BurstStart+r.Scenario.BurstDuration {
+		windows = append(windows, &r.Workspaces[workspace])
+	}
+	return windows
+}
+
+func (r *Result) answered(workspace int, at, took time.Duration) {
+	for _, window := range r.windowsOf(workspace, at) {
+		window.Callers++
+		window.Answered++
+		if took <= r.Scenario.Objective {
+			window.InTime++
+		}
 	}
 	r.latencies = append(r.latencies, took)
 }
 
-func (r *Result) failed(at time.Duration) { r.Windows[int(at/WindowLength)].Callers++ }
+func (r *Result) failed(workspace int, at time.Duration) {
+	for _, window := range r.windowsOf(workspace, at) {
+		window.Callers++
+	}
+}
 
 // Total returns the sums over all windows.
 func (r *Result) Total() Window {
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -60,7 +60,7 @@
 func (p *Pool) place(now time.Time, r *Request, filter targetFilter) bool {
 	if len(r.inFlight) > 0 && !r.inTime(now) {
 		// A hedge would not be answered in time either.
-		r.queued = false
+		p.stopWaiting(r)
 		return true
 	}
 	if t := p.choose(now, r, filter); t != nil {
@@ -70,7 +70,7 @@
 	if p.hasUntriedTarget(now, r, filter) {
 		return false
 	}
-	r.queued = false
+	p.stopWaiting(r)
 	if len(r.inFlight) == 0 {
 		p.fail(now, r, p.unavailableReason(now))
 	}
@@ -104,7 +104,8 @@
 	}
 	slowness := t.Slowness(now)
 	a := &Attempt{Request: r, Target: t, Slowness: slowness, sentAt: now, workDoneAt: now, currentSlowness: slowness}
-	r.queued = false
+	p.stopWaiting(r)
+	p.fair.charge(r)
 	r.tried = append(r.tried, t)
 	r.inFlight = append(r.inFlight, a)
 	t.running = append(t.running, a)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -61,6 +61,7 @@
 	announcements announcements
 	group         outlier.Group
 	queue         []*Request
+	fair          fairShares
 	actions       []Action
 	sendRate      sendRate
 	// monitored holds the attempts that are checked for slowness while they run.
@@ -166,6 +167,7 @@
 func (p *Pool) Submit(now time.Time, r *Request) []Action {
 	p.resetActions()
 	r.arrived = now
+	p.fair.join(r)
 	p.budget.RecordRequest(now)
 	if len(p.queue) >= maxQueued || p.wouldBeLate(now, r) {
 		p.refuse(now, r, ReasonOverload)
@@ -178,12 +180,21 @@
 
 func (p *Pool) enqueue(r *Request) {
 	r.queued = true
+	p.fair.add(r)
 	p.queue = append(p.queue, r)
 	if len(p.queue) > 2*maxQueued {
 		invariant.Breached(invariant.QueueBounded, "%d requests queued", len(p.queue))
 	}
 }
 
+// stopWaiting marks a request that leaves the queue.
+func (p *Pool) stopWaiting(r *Request) {
+	if r.queued {
+		r.queued = false
+		p.fair.remove(r)
+	}
+}
+
 // ProbeAnswered handles the response to a probe. The returned actions are valid until
 // the next event.
 func (p *Pool) ProbeAnswered(now time.Time, t *Target, report *Report, healthy bool) []Action {
@@ -248,7 +259,7 @@
 	if !r.queued {
 		return
 	}
-	r.queued = false
+	p.stopWaiting(r)
 	p.queue = remove(p.queue, r)
 }
 
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -22,11 +22,15 @@
 	ServiceTime time.Duration
 	// Bytes is the expected size of the request and its response together.
 	Bytes int
+	// Flow is the workspace whose share of the targets the request uses.
+	Flow Flow
 	// Payload belongs to the driver.
 	Payload any
 
 	arrived time.Time
-	tried   []*Target
+	// use is that of the request's flow, nil if it has none.
+	use   *flowUse
+	tried []*Target
 	// inFlight holds the attempts that have not ended.
 	inFlight []*Attempt
 	// mayHaveRun is set once a target may have started the request without a successful
@@ -91,7 +95,7 @@
 const serviceTimeMargin = 1.15
 
 // before defines the order of the queue: requests that can be in time first, then by
-// priority, then by soft deadline.
+// priority, then by what their flows have used of their shares, then by soft deadline.
 func (r *Request) before(other *Request, now time.Time) bool {
 	if a, b := r.inTime(now), other.inTime(now); a != b {
 		return a
@@ -99,6 +103,9 @@
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
+	if order := r.fairOrder(other); order != 0 {
+		return order < 0
+	}
 	return r.SoftDeadline.Before(other.SoftDeadline)
 }
 
