Let workspaces compete for targets by their shares

The gateway names the workspace of each request to the placement, which shares the targets by quota. Without a configuration that requires keys nothing changes.

--- a/internal/gateway/authenticate.go
+++ b/internal/gateway/authenticate.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -62,6 +63,25 @@
 	return nil
 }
 
+// flowOf returns the flow that competes for targets with those of other workspaces. Workspaces weigh as
+// much as their quota allows; without a quota, as much as the largest one. Anonymous requests are one
+// flow.
+func (g *Gateway) flowOf(workspace *route.Workspace) placement.Flow {
+	switch {
+	case !g.table.RequiresKeys():
+		return placement.Flow{}
+	case workspace == nil:
+		return placement.Flow{Name: anonymousFlow, Weight: g.table.MaxQuotaRate()}
+	case workspace.Quota.Limited():
+		return placement.Flow{Name: workspace.Name, Weight: workspace.Quota.Rate}
+	}
+	return placement.Flow{Name: workspace.Name, Weight: g.table.MaxQuotaRate()}
+}
+
+// anonymousFlow is the name of the flow of anonymous requests. No workspace has it: HTTP headers
+// can't carry it.
+const anonymousFlow = "\x00anonymous"
+
 // replacesKey reports whether the targets get the name of the call's workspace in place of the key.
 // A configuration that requires keys may have come into force since the call arrived.
 func (c *call) replacesKey() bool { return c.keysRequired || c.gateway.table.RequiresKeys() }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -153,6 +153,7 @@
 		Deadline:     now.Add(min(callerTimeout, r.Timeout)),
 		ServiceTime:  state.serviceTime,
 		Bytes:        int(state.bytes),
+		Flow:         g.flowOf(workspace),
 		Payload:      c,
 	}
 	c.timeout = newTimer(c.timedOut)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -88,7 +88,8 @@
 	// routes holds the routes by host, in lower case, and path prefix.
 	routes map[string]map[string]*Route
 	// workspaces holds the workspaces by the hash of each of their keys.
-	workspaces map[keyHash]*Workspace
+	workspaces   map[keyHash]*Workspace
+	maxQuotaRate float64
 }
 
 // Compile validates a configuration and builds its lookup table. The error is an
--- a/internal/route/workspace.go
+++ b/internal/route/workspace.go
@@ -41,7 +41,22 @@
 // FindWorkspace returns the workspace that holds a key, or nil if none does.
 func (t *Table) FindWorkspace(key []byte) *Workspace { return t.workspaces[sha256.Sum256(key)] }
 
+// MaxQuotaRate returns the highest rate of a quota, or 1 if no workspace has a quota.
+func (t *Table) MaxQuotaRate() float64 { return t.maxQuotaRate }
+
+func maxQuotaRate(workspaces []*Workspace) float64 {
+	highest := 0.0
+	for _, w := range workspaces {
+		highest = max(highest, w.Quota.Rate)
+	}
+	if highest == 0 {
+		return 1
+	}
+	return highest
+}
+
 func (t *Table) addWorkspaces() error {
+	t.maxQuotaRate = maxQuotaRate(t.config.Workspaces)
 	names := make(map[string]struct{}, len(t.config.Workspaces))
 	for _, w := range t.config.Workspaces {
 		if err := w.validate(); err != nil {
