--- a/internal/quarantine/claim.go
+++ b/internal/quarantine/claim.go
@@ -141,7 +141,7 @@
 func (c *Coordinator) confirm(id Identity, answers Answers) bool {
 	granted := false
 	c.update(func() []RetryDecision {
-		granted = answers.Complete && !answers.Claimed && !c.tracker.quarantinedEither(time.Now(), id)
+		granted = answers.Complete && !answers.Claimed && !c.tracker.quarantinedEither(c.now(), id)
 		if !granted {
 			delete(c.claims.held, id.Content)
 		}
--- a/internal/quarantine/claim_test.go
+++ b/internal/quarantine/claim_test.go
@@ -61,7 +61,9 @@
 func newLateNetwork(daemons int) *lateNetwork {
 	n := &lateNetwork{now: time.Now()}
 	for i := range daemons {
-		n.daemons = append(n.daemons, NewCoordinator(&latePeers{network: n, self: i}))
+		d := NewCoordinator(&latePeers{network: n, self: i})
+		d.now = func() time.Time { return n.now }
+		n.daemons = append(n.daemons, d)
 	}
 	return n
 }
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -26,6 +26,8 @@
 // resumes requests. It is safe for concurrent use.
 type Coordinator struct {
 	peers Peers
+	// now is the clock, which tests replace.
+	now func() time.Time
 	// suspectCount lets HasSuspects skip the lock.
 	suspectCount atomic.Int64
 
@@ -36,7 +38,7 @@
 
 // NewCoordinator returns a Coordinator with an empty tracker.
 func NewCoordinator(peers Peers) *Coordinator {
-	return &Coordinator{tracker: NewTracker(), claims: newClaims(), peers: peers}
+	return &Coordinator{tracker: NewTracker(), claims: newClaims(), peers: peers, now: time.Now}
 }
 
 // HasSuspects reports whether any content is suspected or undecided. It takes no lock, so that it can be
@@ -97,7 +99,7 @@
 func (c *Coordinator) RecordDeath(now time.Time, failed *FailedRequest) {
 	var suspect, byCaller Suspect
 	claimed := false
-	toldAt := time.Now()
+	toldAt := c.now()
 	c.update(func() []RetryDecision {
 		suspect = c.tracker.RecordDeath(now, failed)
 		if failed.ByCaller != 0 {
@@ -127,7 +129,7 @@
 	}
 	var suspect Suspect
 	c.update(func() []RetryDecision {
-		suspect = c.tracker.describe(time.Now(), Identity{Content: announced.Content})
+		suspect = c.tracker.describe(c.now(), Identity{Content: announced.Content})
 		return nil
 	})
 	if suspect.Quarantined {
@@ -138,7 +140,7 @@
 // recheck decides again, by the deaths that other daemons have told since.
 func (c *Coordinator) recheck(decisions []RetryDecision) []RetryDecision {
 	return c.update(func() []RetryDecision {
-		now := time.Now()
+		now := c.now()
 		for i, decision := range decisions {
 			decisions[i].Allowed = !c.tracker.Quarantined(now, decision.FailedRequest.Content)
 		}
@@ -183,7 +185,7 @@
 func (c *Coordinator) Lift(content Content) bool {
 	known := false
 	c.update(func() []RetryDecision {
-		known = c.tracker.Lift(time.Now(), content)
+		known = c.tracker.Lift(c.now(), content)
 		return nil
 	})
 	return known
--- a/internal/quarantine/storm_test.go
+++ b/internal/quarantine/storm_test.go
@@ -77,17 +77,23 @@
 }
 
 func newStorm(t *rapid.T) *storm {
-	s := &storm{t: t, now: time.Now(), next: stormCrashing + 1, stored: map[Content]Suspect{}, crashes: map[Content]int{}, killers: map[Content][]Content{}}
+	s := &storm{t: t, now: start, next: stormCrashing + 1, stored: map[Content]Suspect{}, crashes: map[Content]int{}, killers: map[Content][]Content{}}
 	for i := range stormDaemons {
-		s.daemons = append(s.daemons, NewCoordinator(&stormPeers{storm: s, self: i}))
+		s.daemons = append(s.daemons, s.newDaemon(i))
 	}
 	return s
 }
 
+func (s *storm) newDaemon(index int) *Coordinator {
+	d := NewCoordinator(&stormPeers{storm: s, self: index})
+	d.now = func() time.Time { return s.now }
+	return d
+}
+
 func (s *storm) draw(limit int, label string) int { return rapid.IntRange(0, limit-1).Draw(s.t, label) }
 
 func (s *storm) step() {
-	s.now = s.now.Add(time.Duration(1+s.draw(2, "ms")) * time.Millisecond)
+	s.now = s.now.Add(time.Duration(1+s.draw(200, "ms")) * time.Millisecond)
 	switch s.draw(8, "step") {
 	case 0:
 		s.restart(s.draw(stormDaemons, "restarted"))
@@ -107,7 +113,7 @@
 		return
 	}
 	s.restarts++
-	s.daemons[daemon] = NewCoordinator(&stormPeers{storm: s, self: daemon})
+	s.daemons[daemon] = s.newDaemon(daemon)
 	for _, suspect := range s.stored {
 		suspect.ToldAt = time.Time{}
 		s.daemons[daemon].Merge(s.now, []Suspect{suspect})
