--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -93,7 +93,11 @@
 		return
 	}
 	now := time.Now()
-	l.log.WithFields(logrus.Fields{
+	log := l.log
+	if c.workspace != nil {
+		log = log.WithField("workspace", c.workspace.Name)
+	}
+	log.WithFields(logrus.Fields{
 		"request":  string(c.gateway.options.Dialect.RequestID(c.request)),
 		"route":    c.route.Name,
 		"service":  c.service.name,
