--- a/test/docs/platform_test.go
+++ b/test/docs/platform_test.go
@@ -22,6 +22,7 @@
 	`"pathPrefix`, `"timeoutS`, `"targetLatencyS`, `"trafficSplit`, `"maxAttempts`, `"healthCheckPath`,
 	`"maxConnections`, `"coldRemainingS`, `"staleRead`, `"waitMs`, `"ttlS`, `"atRev`, `"non_idempotent`,
 	`"graceS`, `"budgetRatio`, `"budgetExtraTries`,
+	"Poplarwheel-Tenant-Name", `"tenants`, `"apiKeys`, `"ratePerS`, `"allowAnonymous`, `"coldStartS`, `"coldPerS`,
 }
 
 // sources calls visit with each Go file of the project.
