Limit hedges to a fraction of requests and hedge overdue attempts

Hedges were sent only if the target of the first attempt reported that it is slow. A single slow response at a target of usual speed was not noticed, and only the retry budget limited hedges. Pool.SetHedgeRatio enables a limit for each service, and hedges of attempts that outlast the 95th percentile of recent response times. Nothing sets it yet, so the behavior is unchanged: the tests of internal/placement and internal/emulator pass as before.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -42,12 +42,18 @@
 	// then takes SlowFactor times as long.
 	SlowShare, SlowFactor float64
 	SlowDuration          time.Duration
+	// StragglerShare is the share of executions that take StragglerFactor times as long. The
+	// same request sent again is drawn anew.
+	StragglerShare, StragglerFactor float64
 	// SaturationShare is the share of occupied slots from which execution takes
 	// SaturationFactor times as long.
 	SaturationShare, SaturationFactor float64
 	// NoReports is set for targets that do not report their load. A probe then needs a
 	// slot like any other request.
 	NoReports bool
+	// HedgeRatio limits the hedges of the daemons, as in their settings. 0 means that only the
+	// retry budget limits them.
+	HedgeRatio float64
 	// LocalDelay and RemoteDelay are the one-way network delays within an availability
 	// zone and between zones.
 	LocalDelay, RemoteDelay time.Duration
@@ -145,6 +151,14 @@
 	s.arrive(&job{first: s.now, work: time.Duration(max(factor, minServiceTimeFactor) * float64(s.scenario.ServiceTime))})
 }
 
+// executionTime returns the time that one execution of a job takes at a target of usual speed.
+func (s *simulation) executionTime(j *job) time.Duration {
+	if s.scenario.StragglerShare == 0 || s.rng.Float64() >= s.scenario.StragglerShare {
+		return j.work
+	}
+	return time.Duration(s.scenario.StragglerFactor * float64(j.work))
+}
+
 // minServiceTimeFactor is the minimum service time of a request relative to the mean.
 const minServiceTimeFactor = 0.2
 
--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -45,7 +45,7 @@
 	s := d.simulation
 	t := d.choose()
 	delay := s.delay(d.index, t)
-	e := &execution{job: j, remaining: j.work}
+	e := &execution{job: j, remaining: s.executionTime(j)}
 	e.ended = func() { s.schedule(delay, func() { s.answered(j) }) }
 	s.schedule(delay, func() {
 		if !t.accept(e) {
@@ -97,6 +97,7 @@
 	budget := placement.NewBudget(retryWindow, retryRatio, retryFixed)
 	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 2))
 	p := &poolDaemon{simulation: s, index: index, pool: placement.NewPool(rng, zoneName(index%s.scenario.Zones), budget)}
+	p.pool.SetHedgeRatio(s.scenario.HedgeRatio)
 	var infos []placement.TargetInfo
 	var zones []string
 	for zone := range s.scenario.Zones {
@@ -212,9 +213,9 @@
 	s := p.simulation
 	t := p.target(a.Target)
 	delay := s.delay(p.index, t)
-	e := &execution{job: a.Request.Payload.(*job), remaining: a.Request.Payload.(*job).work}
+	e := &execution{job: a.Request.Payload.(*job), remaining: s.executionTime(a.Request.Payload.(*job))}
 	a.Handle = e
-	s.result.Sends++
+	s.result.recordSend(a)
 	finish := func(outcome placement.Outcome) {
 		report := t.report()
 		s.schedule(delay, func() {
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
 // WindowLength is the length of the windows over which results are aggregated.
@@ -28,6 +30,8 @@
 	Windows  []Window
 	// Probes and Sends count what the daemons sent to targets.
 	Probes, Sends int
+	// Hedges counts the sends of requests that had another attempt in flight.
+	Hedges int
 
 	latencies []time.Duration
 }
@@ -46,6 +50,13 @@
 	r.latencies = append(r.latencies, took)
 }
 
+func (r *Result) recordSend(a *placement.Attempt) {
+	r.Sends++
+	if a.IsHedge() {
+		r.Hedges++
+	}
+}
+
 func (r *Result) failed(at time.Duration) { r.Windows[int(at/WindowLength)].Callers++ }
 
 // Total returns the sums over all windows.
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -58,9 +58,8 @@
 // place sends a queued request to a target, or ends its wait because no target can take
 // it. It returns false if the request has to wait.
 func (p *Pool) place(now time.Time, r *Request, filter targetFilter) bool {
-	if len(r.inFlight) > 0 && !r.inTime(now) {
+	if len(r.inFlight) > 0 && p.endExpiredHedge(now, r) {
 		// A hedge would not be answered in time either.
-		r.queued = false
 		return true
 	}
 	if t := p.choose(now, r, filter); t != nil {
@@ -87,7 +86,7 @@
 		p.backlogSince = now
 		p.sendRate.reset(now)
 	}
-	if first := p.queue[0]; first.inTime(now) && now.Sub(first.arrived) > contentionWait {
+	if first := p.firstWaiting(); first != nil && first.inTime(now) && now.Sub(first.arrived) > contentionWait {
 		p.contendedAt = now
 	}
 }
@@ -109,6 +108,6 @@
 	r.inFlight = append(r.inFlight, a)
 	t.running = append(t.running, a)
 	p.sendRate.recordSend(now)
-	p.monitor(now, a)
+	p.trackSend(now, a)
 	p.emit(Action{Kind: Send, Request: r, Attempt: a})
 }
--- a/internal/placement/budget.go
+++ b/internal/placement/budget.go
@@ -39,17 +39,22 @@
 
 // Take reports whether the budget allows another send, and if so, charges it.
 func (b *Budget) Take(now time.Time) bool {
+	if !b.Allows(now, 1) {
+		return false
+	}
+	b.spent[b.current]++
+	return true
+}
+
+// Allows reports whether the given share of the budget allows another send.
+func (b *Budget) Allows(now time.Time, share float64) bool {
 	b.advance(now)
 	requests, spent := 0.0, 0.0
 	for i := range budgetSlots {
 		requests += b.requests[i]
 		spent += b.spent[i]
 	}
-	if spent+1 > budgetMargin*(b.ratio*requests+b.fixed) {
-		return false
-	}
-	b.spent[b.current]++
-	return true
+	return spent+1 <= share*budgetMargin*(b.ratio*requests+b.fixed)
 }
 
 func (b *Budget) advance(now time.Time) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -135,7 +135,7 @@
 func (p *Pool) accepts(now time.Time, r *Request, t *Target) bool {
 	slowness := t.Slowness(now)
 	if len(r.inFlight) > 0 {
-		return slowness <= acceptableSlowness
+		return p.acceptsHedge(now, r, t)
 	}
 	if !r.inTime(now) && p.contended(now) && t.Load(now) >= max(1, t.requestLimit()-1) {
 		// A late request must not take room from requests that can still be in time.
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -13,6 +13,7 @@
 	r := a.Request
 	r.retryHeld = false
 	p.release(a)
+	p.withdrawHedge(r)
 	p.recordResult(now, a, result)
 	if !r.finished {
 		p.handleOutcome(now, r, result)
@@ -49,6 +50,7 @@
 		p.setNoReports(result.Report == nil)
 		t.speedEstimate.record(now, now.Sub(a.sentAt), serviceTime)
 		p.group.RecordSuccess(now, &t.health, now.Sub(a.sentAt))
+		p.recordWinner(now, a)
 	case Failed:
 		p.group.RecordFailure(now, &t.health, outlier.ServerError, serviceTime)
 	case Lost:
@@ -137,6 +139,7 @@
 		if now.Sub(a.sentAt) > stuckFactor*r.ServiceTime {
 			p.group.RecordFailure(now, &a.Target.health, outlier.NoResponse, r.ServiceTime)
 		}
+		p.recordOvertaken(now, a)
 	}
 	p.withdraw(r)
 	p.fail(now, r, ReasonTimeout)
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -63,6 +63,10 @@
 // checkMonitored checks the attempts that are due. It probes their targets, or hedges
 // immediately if targets do not report their load.
 func (p *Pool) checkMonitored(now time.Time) {
+	if p.hedger != nil {
+		p.checkLimited(now)
+		return
+	}
 	p.monitored = slices.DeleteFunc(p.monitored, func(a *Attempt) bool { return !a.worthHedging(now) })
 	for _, a := range p.monitored {
 		if now.Before(a.checkAt) {
@@ -86,6 +90,10 @@
 
 // hedgeLate hedges the requests at a target that would be late there.
 func (p *Pool) hedgeLate(now time.Time, t *Target) {
+	if p.hedger != nil {
+		p.hedgeSlow(now, t)
+		return
+	}
 	for _, a := range t.running {
 		r := a.Request
 		if !r.mayHedge() || !a.worthHedging(now) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -22,6 +22,7 @@
 
 	xrate "golang.org/x/time/rate"
 
+	"github.com/poplarwheel/poplarwheel/internal/hedging"
 	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/outlier"
 )
@@ -81,6 +82,8 @@
 	// noReports is set while responses of the targets carry no load reports, which
 	// makes probes useless.
 	noReports bool
+	// hedger limits hedges; nil if only the retry budget does.
+	hedger *hedging.Hedger
 }
 
 // NewPool returns a pool without targets for a daemon in the given availability zone.
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/hedging"
 )
 
 // Request is a request of a caller that is to be sent to a target.
@@ -22,6 +24,9 @@
 	ServiceTime time.Duration
 	// Bytes is the expected size of the request and its response together.
 	Bytes int
+	// Suspected is set if the request may crash targets. It is not hedged if hedges are
+	// limited.
+	Suspected bool
 	// Payload belongs to the driver.
 	Payload any
 
@@ -38,6 +43,10 @@
 	queued bool
 	// retryHeld is set while it is undecided whether the request may be sent again.
 	retryHeld bool
+	// queuedAsHedge is set when a limited hedge of the request is queued, until the attempt
+	// in flight ends. The hedge is not sent after hedgeUntil.
+	queuedAsHedge bool
+	hedgeUntil    time.Time
 	// finished is set once the caller has been answered or has disconnected.
 	finished bool
 }
@@ -60,8 +69,19 @@
 	currentSlowness float64
 	// checkAt is when the attempt is checked next; zero if it is not monitored.
 	checkAt time.Time
+	// hedge is set if another attempt of the request was in flight when this one was sent.
+	hedge bool
+	// With limited hedges, the target is probed at probeAt, and the attempt is overdue at
+	// overdueAt; zero if that is unknown.
+	probeAt   time.Time
+	overdueAt time.Time
+	// suppressed is the last reason why the attempt was not hedged.
+	suppressed hedging.Reason
 }
 
+// IsHedge reports whether another attempt of the request was in flight when this one was sent.
+func (a *Attempt) IsHedge() bool { return a.hedge }
+
 // Canceled reports whether the attempt was canceled.
 func (a *Attempt) Canceled() bool { return a.canceled }
 
