Add the setting hedge_ratio

Operators could not limit hedges other than by the retry budget. hedge_ratio limits them to a fraction of each service's requests and enables the hedges of overdue attempts. If it is absent, neither the histogram nor the limit exists, and no metric appears.

--- a/internal/emulator/policy.go
+++ b/internal/emulator/policy.go
@@ -98,6 +98,7 @@
 	rng := rand.New(rand.NewPCG(s.rng.Uint64(), 2))
 	p := &poolDaemon{simulation: s, index: index, pool: placement.NewPool(rng, zoneName(index%s.scenario.Zones), budget)}
 	p.pool.SetHedgeRatio(s.scenario.HedgeRatio)
+	s.result.pools = append(s.result.pools, p.pool)
 	var infos []placement.TargetInfo
 	var zones []string
 	for zone := range s.scenario.Zones {
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/internal/hedging"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
@@ -34,6 +35,7 @@
 	Hedges int
 
 	latencies []time.Duration
+	pools     []*placement.Pool
 }
 
 func newResult(scenario Scenario, policy Policy) *Result {
@@ -57,6 +59,19 @@
 	}
 }
 
+// Suppressed returns the number of slow attempts that were not hedged, by reason.
+func (r *Result) Suppressed() map[hedging.Reason]uint64 {
+	suppressed := map[hedging.Reason]uint64{}
+	for _, pool := range r.pools {
+		if counts := pool.HedgeCounts(); counts != nil {
+			for reason, count := range counts.Suppressed {
+				suppressed[reason] += count
+			}
+		}
+	}
+	return suppressed
+}
+
 func (r *Result) failed(at time.Duration) { r.Windows[int(at/WindowLength)].Callers++ }
 
 // Total returns the sums over all windows.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -41,6 +41,9 @@
 	stripHopHeaders(&a.request.Header)
 	a.request.Header.Del(fasthttp.HeaderExpect)
 	c.gateway.options.Dialect.SetTargetHeaders(a.request, target.ID, c.placed.Deadline.Sub(now))
+	if placed.IsHedge() && c.gateway.options.HedgeRatio > 0 {
+		c.gateway.log.hedged(now, a)
+	}
 	c.gateway.counts.Sent++
 	c.sending++
 	c.gateway.client.Start(c.gateway.loop, &a.exchange, c.placed.Deadline.Add(abandonedGracePeriod), a.request, a)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -91,6 +91,7 @@
 	switch {
 	case c.done:
 	case standing == quarantine.Suspected:
+		c.placed.Suspected = true
 		c.awaitClaim()
 	default:
 		c.submit()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,6 +60,9 @@
 	// ProbeRate is the maximum number of probes per second to each target by all daemons
 	// together. 0 means unlimited.
 	ProbeRate float64
+	// HedgeRatio is the maximum number of hedges for each request of a service. 0 means that
+	// only the retry budget limits them.
+	HedgeRatio float64
 }
 
 // Shares are this daemon's shares of the budgets that all daemons have in common. The
@@ -247,6 +250,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	s := &service{name: name, pool: placement.NewPool(rng, g.options.Zone, budget)}
 	s.pool.SetZones(g.options.Zones)
+	s.pool.SetHedgeRatio(g.options.HedgeRatio)
 	s.expiry = newTimer(func(now time.Time) { g.perform(s, s.pool.Tick(now)) })
 	g.applyShares(s.pool)
 	g.services[name] = s
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -18,6 +18,10 @@
 	logLinesPerSecond = 20
 	// logBurst is the number of such lines that may be written at once.
 	logBurst = 60
+	// hedgeLinesPerSecond and hedgeBurst limit the log lines about hedges, so that they leave
+	// room for those about requests that are not served.
+	hedgeLinesPerSecond = 2
+	hedgeBurst          = 10
 )
 
 // eventLog writes a rate-limited log line for each request that is refused, late or of
@@ -27,10 +31,16 @@
 	log     logrus.FieldLogger
 	limiter *rate.Limiter
 	dropped int
+	// hedges limits the lines about hedges. Those above the limit are not counted.
+	hedges *rate.Limiter
 }
 
 func newEventLog(log logrus.FieldLogger) *eventLog {
-	return &eventLog{log: log, limiter: rate.NewLimiter(logLinesPerSecond, logBurst)}
+	return &eventLog{
+		log:     log,
+		limiter: rate.NewLimiter(logLinesPerSecond, logBurst),
+		hedges:  rate.NewLimiter(hedgeLinesPerSecond, hedgeBurst),
+	}
 }
 
 // allow reports whether another line may be written, and counts a dropped line if not.
@@ -114,6 +124,25 @@
 	}).Info("answer late")
 }
 
+// hedged logs a request that is sent to a second target because the first is slow.
+func (l *eventLog) hedged(now time.Time, a *attempt) {
+	if !l.hedges.Allow() {
+		return
+	}
+	c := a.call
+	l.log.WithFields(logrus.Fields{
+		"request":  string(c.gateway.options.Dialect.RequestID(c.request)),
+		"route":    c.route.Name,
+		"service":  c.service.name,
+		"target":   a.placed.Target.ID,
+		"held_ms":  now.Sub(c.started).Milliseconds(),
+		"due_ms":   c.placed.SoftDeadline.Sub(now).Milliseconds(),
+		"left_ms":  c.placed.Deadline.Sub(now).Milliseconds(),
+		"work_ms":  c.placed.ServiceTime.Milliseconds(),
+		"slowness": a.placed.Slowness,
+	}).Info("request hedged")
+}
+
 // attemptFailed logs an attempt without a successful response.
 func (l *eventLog) attemptFailed(a *attempt, result placement.Result, err error) {
 	if !l.allow() {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/internal/hedging"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
@@ -26,6 +27,8 @@
 	// Queued is the number of requests that wait for a target.
 	Queued  int                     `json:"queued"`
 	Targets []placement.TargetState `json:"targets"`
+	// Hedges is nil if only the retry budget limits hedges.
+	Hedges *hedging.Counts `json:"hedges,omitempty"`
 }
 
 // State returns a snapshot, taken on the event loop. It waits while the loop is busy, and
@@ -51,7 +54,7 @@
 		state.Routes = len(g.table.Routes())
 	}
 	for name, s := range g.services {
-		service := ServiceState{Name: name, Queued: s.pool.Queued()}
+		service := ServiceState{Name: name, Queued: s.pool.Queued(), Hedges: copyOf(s.pool.HedgeCounts())}
 		for _, t := range s.pool.Targets() {
 			service.Targets = append(service.Targets, t.State(now))
 		}
@@ -59,3 +62,13 @@
 	}
 	return state
 }
+
+// copyOf returns a copy of the counts of hedges that can be read outside the event loop.
+func copyOf(counts *hedging.Counts) *hedging.Counts {
+	if counts == nil {
+		return nil
+	}
+	copied := *counts
+	copied.Suppressed = maps.Clone(counts.Suppressed)
+	return &copied
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -172,6 +172,7 @@
 		RetryWindow: d.settings.RetryWindow,
 		RetryRatio:  d.settings.RetryRatio,
 		RetryFixed:  d.settings.RetryFixed,
+		HedgeRatio:  d.settings.HedgeRatio,
 		ProbeRate:   d.settings.ProbeRate,
 
 		TargetConnections: d.settings.Resources.targetConnections(),
--- a/internal/gatewayd/metrics.go
+++ b/internal/gatewayd/metrics.go
@@ -35,6 +35,8 @@
 	feedAgeDesc             = newDesc("feed_age_seconds", "Time since the daemon was last shown to know all changes, by kind of objects.", "kind")
 	violationsDesc          = newDesc("invariant_breaches_total", "Breaches of what must always hold, by invariant.", "invariant")
 	suspectsDesc            = newDesc("suspects", "Contents of requests at which targets died, by state.", "state")
+	hedgesDesc              = newDesc("hedges_total", "Second sends of requests whose first attempt was slow, by service and result: sent, or won, if answered before the first.", "service", "result")
+	suppressedHedgesDesc    = newDesc("suppressed_hedges_total", "Slow attempts that were not hedged, by service and reason.", "service", "reason")
 	advertisedDesc          = newDesc("named", "Entry VMs that callers of the zone are sent to, of other zones if nobody of it serves.")
 )
 
@@ -45,7 +47,7 @@
 		probesDesc, queuedDesc, targetsDesc,
 		rejectionsDesc, rejectedConfigsDesc, revisionDesc,
 		platformUnavailableDesc, storeEpochDesc, feedAgeDesc, advertisedDesc,
-		suspectsDesc, violationsDesc,
+		suspectsDesc, violationsDesc, hedgesDesc, suppressedHedgesDesc,
 	} {
 		descriptions <- d
 	}
@@ -97,6 +99,7 @@
 	}
 	for _, service := range state.Services {
 		gauge(queuedDesc, float64(service.Queued), service.Name)
+		collectHedges(counter, service)
 		states := map[string]int{}
 		for _, target := range service.Targets {
 			states[target.State]++
@@ -107,6 +110,18 @@
 	}
 }
 
+// collectHedges exports the counts of a service's hedges if they are limited.
+func collectHedges(counter func(d *prometheus.Desc, value uint64, labels ...string), service gateway.ServiceState) {
+	if service.Hedges == nil {
+		return
+	}
+	counter(hedgesDesc, service.Hedges.Sent, service.Name, "sent")
+	counter(hedgesDesc, service.Hedges.Won, service.Name, "won")
+	for reason, count := range service.Hedges.Suppressed {
+		counter(suppressedHedgesDesc, count, service.Name, string(reason))
+	}
+}
+
 // collectSuspects exports the numbers of quarantined and of suspected contents.
 func (c *collector) collectSuspects(gauge func(d *prometheus.Desc, value float64, labels ...string)) {
 	suspects := c.daemon.quarantine.Suspects(time.Now())
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -45,6 +45,9 @@
 	// ProbeRate is the maximum number of probes per second to each target by all daemons
 	// together. 0 means unlimited.
 	ProbeRate float64
+	// HedgeRatio is the maximum number of hedges for each request of a service. 0 means that
+	// only the retry budget limits them.
+	HedgeRatio float64
 }
 
 // Feeds are the objects in the platform's store that a daemon watches.
--- a/internal/hedging/hedging.go
+++ b/internal/hedging/hedging.go
@@ -14,7 +14,7 @@
 	minStillRunning = 0.5
 	// maxOccupied is the maximum occupied fraction of the room of all targets. Above it, a
 	// hedge takes the room of a request that arrives next.
-	maxOccupied = 0.85
+	maxOccupied = 0.95
 )
 
 // Reason tells why a slow attempt was not hedged.
@@ -62,6 +62,8 @@
 	Remaining time.Duration
 	// HedgeTime is the expected time until a hedge is answered.
 	HedgeTime time.Duration
+	// NoReports is set if the targets don't report their load.
+	NoReports bool
 	// DueIn is the time until the response is late, TimeLeft that until the caller must be
 	// answered.
 	DueIn, TimeLeft time.Duration
@@ -98,7 +100,7 @@
 		return ReasonNoTime
 	case !h.gains(now, s):
 		return ReasonNoGain
-	case s.Waiting || s.Occupied > maxOccupied:
+	case s.Waiting && !waivesQueue(s), s.Occupied > maxOccupied:
 		return ReasonNoRoom
 	case !s.HasTarget:
 		return ReasonNoTarget
@@ -115,9 +117,20 @@
 	if s.Trigger == SlowTarget {
 		return float64(s.Remaining) >= clearlySooner*float64(s.HedgeTime)
 	}
+	if s.NoReports && h.Limit.isPlentiful() {
+		// The elapsed time is the only sign of a slow target.
+		return true
+	}
 	return h.Times.StillRunning(now, s.Elapsed, s.HedgeTime, s.ServiceTime) >= minStillRunning
 }
 
+// waivesQueue reports whether a hedge may be sent although other requests wait for room. So it
+// is for the signs of a slow target that are used without a limit on hedges too: these hedges
+// prevent late responses.
+func waivesQueue(s Situation) bool {
+	return s.HedgeTime < s.DueIn && (s.NoReports || s.Trigger == SlowTarget && s.Remaining >= s.DueIn)
+}
+
 // rescues reports whether a hedge may prevent a late response. While the allowance is low, it
 // is kept for such hedges.
 func rescues(s Situation) bool {
--- a/internal/hedging/limit.go
+++ b/internal/hedging/limit.go
@@ -4,10 +4,13 @@
 	// savedRequests is the number of requests whose allowance may be saved. More would allow
 	// long bursts of hedges after a quiet time, fewer would waste the limit, because targets
 	// slow down in groups.
-	savedRequests = 100
+	savedRequests = 200
 	// minSaved is the minimum of the saved allowance: with less than one hedge, none could
 	// ever be sent.
 	minSaved = 1
+	// plentifulShare is the share of the allowance that can be saved from which hedges of
+	// little gain are sent.
+	plentifulShare = 0.9
 )
 
 // Limit limits hedges to a fraction of the requests. Each request adds the fraction to an
@@ -33,7 +36,10 @@
 // Take charges a hedge.
 func (l *Limit) Take() { l.allowance-- }
 
-// isLow reports whether less than half of the allowance that can be saved is left.
-func (l *Limit) isLow() bool { return l.allowance < max(l.capacity()/2, 1) }
+// isLow reports whether less than a quarter of the allowance that can be saved is left.
+func (l *Limit) isLow() bool { return l.allowance < max(l.capacity()/4, 1) }
+
+// isPlentiful reports whether nearly all of the allowance that can be saved is left.
+func (l *Limit) isPlentiful() bool { return l.allowance >= max(plentifulShare*l.capacity(), 1) }
 
 func (l *Limit) capacity() float64 { return max(savedRequests*l.ratio, minSaved) }
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -86,7 +86,7 @@
 		p.backlogSince = now
 		p.sendRate.reset(now)
 	}
-	if first := p.firstWaiting(); first != nil && first.inTime(now) && now.Sub(first.arrived) > contentionWait {
+	if first := p.queue[0]; first.inTime(now) && now.Sub(first.arrived) > contentionWait {
 		p.contendedAt = now
 	}
 }
--- a/internal/placement/hedger.go
+++ b/internal/placement/hedger.go
@@ -66,10 +66,12 @@
 	}
 	a.probeAt = now.Add(firstCheckDelay(a.Request.ServiceTime))
 	a.overdueAt = time.Time{}
-	if overdue, known := p.hedger.Times.Overdue(now); known {
-		a.overdueAt = now.Add(time.Duration(max(overdue, overdueFactor) * float64(a.Request.ServiceTime)))
-	} else if p.noReports {
+	overdue, known := p.hedger.Times.Overdue(now)
+	switch {
+	case p.noReports:
 		a.overdueAt = now.Add(time.Duration(overdueFactor * float64(a.Request.ServiceTime)))
+	case known:
+		a.overdueAt = now.Add(time.Duration(overdue * float64(a.Request.ServiceTime)))
 	}
 	a.scheduleCheck(p.noReports)
 	p.monitored = append(p.monitored, a)
@@ -157,11 +159,12 @@
 		ServiceTime: r.ServiceTime,
 		Remaining:   a.remainingTime(),
 		HedgeTime:   time.Duration(hedgeTimeMargin * float64(r.ServiceTime)),
+		NoReports:   p.noReports,
 		DueIn:       r.SoftDeadline.Sub(now),
 		TimeLeft:    r.Deadline.Sub(now),
 		Suspected:   r.Suspected,
 		HasTarget:   p.hasHedgeTarget(now, a, filter),
-		Waiting:     p.contended(now) || p.waitsSince(now.Add(-fastTargetWait)),
+		Waiting: p.waitsSince(now.Add(-fastTargetWait)),
 		Occupied:    p.occupied(now, filter),
 		BudgetLeft:  p.budget.Allows(now, hedgeBudgetShare),
 	}
@@ -191,10 +194,15 @@
 func (p *Pool) occupied(now time.Time, filter targetFilter) float64 {
 	load, room := 0, 0
 	for _, t := range p.list {
-		if filter.allows(now, t) {
-			load += min(t.Load(now), t.requestLimit())
-			room += t.requestLimit()
+		if !filter.allows(now, t) {
+			continue
+		}
+		limit := t.requestLimit()
+		if t.noReports {
+			limit = t.permits
 		}
+		load += min(t.Load(now), limit)
+		room += limit
 	}
 	return float64(load) / float64(max(room, 1))
 }
@@ -207,7 +215,7 @@
 	if p.hedger == nil {
 		return true
 	}
-	return t.Load(now) < r.inFlight[0].Target.Load(now) && !p.waitsSince(now) &&
+	return t.Load(now) < r.inFlight[0].Target.Load(now) && (p.noReports || !p.waitsSince(now)) &&
 		p.hedger.Limit.Allows() && p.budget.Allows(now, hedgeBudgetShare)
 }
 
@@ -226,16 +234,6 @@
 	return true
 }
 
-// firstWaiting returns the first queued request that is not a limited hedge, or nil.
-func (p *Pool) firstWaiting() *Request {
-	for _, r := range p.queue {
-		if !r.queuedAsHedge || len(r.inFlight) == 0 {
-			return r
-		}
-	}
-	return nil
-}
-
 // withdrawHedge takes a queued hedge out of the queue because its first attempt has ended. It
 // has not been charged, so a retry must be decided on anew.
 func (p *Pool) withdrawHedge(r *Request) {
