--- a/internal/placement/hedger.go
+++ b/internal/placement/hedger.go
@@ -164,7 +164,7 @@
 		TimeLeft:    r.Deadline.Sub(now),
 		Suspected:   r.Suspected,
 		HasTarget:   p.hasHedgeTarget(now, a, filter),
-		Waiting: p.waitsSince(now.Add(-fastTargetWait)),
+		Waiting:     p.waitsSince(now.Add(-fastTargetWait)),
 		Occupied:    p.occupied(now, filter),
 		BudgetLeft:  p.budget.Allows(now, hedgeBudgetShare),
 	}
