--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -3,6 +3,9 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/hedging"
+	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
 // WindowLength is the length of the windows over which results are aggregated.
@@ -30,8 +33,11 @@
 	Workspaces []Window
 	// Probes and Sends count what the daemons sent to targets.
 	Probes, Sends int
+	// Hedges counts the sends of requests that had another attempt in flight.
+	Hedges int
 
 	latencies []time.Duration
+	pools     []*placement.Pool
 }
 
 func newResult(scenario Scenario, policy Policy) *Result {
@@ -69,6 +75,26 @@
 	}
 }
 
+func (r *Result) recordSend(a *placement.Attempt) {
+	r.Sends++
+	if a.IsHedge() {
+		r.Hedges++
+	}
+}
+
+// Suppressed returns the number of slow attempts that were not hedged, by reason.
+func (r *Result) Suppressed() map[hedging.Reason]uint64 {
+	suppressed := map[hedging.Reason]uint64{}
+	for _, pool := range r.pools {
+		if counts := pool.HedgeCounts(); counts != nil {
+			for reason, count := range counts.Suppressed {
+				suppressed[reason] += count
+			}
+		}
+	}
+	return suppressed
+}
+
 // Total returns the sums over all windows.
 func (r *Result) Total() Window {
 	var total Window
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -110,6 +110,7 @@
 // sent.
 func (c *call) place(standing quarantine.Standing) {
 	if standing == quarantine.Suspected {
+		c.placed.Suspected = true
 		c.awaitClaim()
 		return
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"github.com/poplarwheel/poplarwheel/internal/hedging"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
@@ -29,6 +30,8 @@
 	// Queued is the number of requests that wait for a target.
 	Queued  int                     `json:"queued"`
 	Targets []placement.TargetState `json:"targets"`
+	// Hedges is nil if only the retry budget limits hedges.
+	Hedges *hedging.Counts `json:"hedges,omitempty"`
 }
 
 // WorkspaceState is a snapshot of a workspace.
@@ -68,7 +71,7 @@
 		state.Workspaces = workspaceStates(g.table.Workspaces())
 	}
 	for name, s := range g.services {
-		service := ServiceState{Name: name, Queued: s.pool.Queued()}
+		service := ServiceState{Name: name, Queued: s.pool.Queued(), Hedges: copyOf(s.pool.HedgeCounts())}
 		for _, t := range s.pool.Targets() {
 			service.Targets = append(service.Targets, t.State(now))
 		}
@@ -90,3 +93,13 @@
 	}
 	return states
 }
+
+// copyOf returns a copy of the counts of hedges that can be read outside the event loop.
+func copyOf(counts *hedging.Counts) *hedging.Counts {
+	if counts == nil {
+		return nil
+	}
+	copied := *counts
+	copied.Suppressed = maps.Clone(counts.Suppressed)
+	return &copied
+}
