Limit the requests to cold targets

A target that has just started, or that was idle for long, runs slowly and fails if it receives clearly more than its cold rate, from all daemons together. Until now it only counted as slow.

Each daemon keeps a minimum time between two requests to a cold target, which follows from its share of the service's cold rate. Requests that only cold targets could take, and none in time, are refused at once with reason cold. Without a cold rate nothing changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -191,7 +191,7 @@
 
 // refuse responds that the request has not been executed.
 func (c *call) refuse(action placement.Action) {
-	c.gateway.counts.Refused++
+	c.gateway.counts.recordRefused(action.Reason)
 	c.gateway.log.notServed(c, fasthttp.StatusServiceUnavailable, action.Reason)
 	response := newErrorResponse(fasthttp.StatusServiceUnavailable, string(action.Reason))
 	remaining := c.callerTimeout - time.Since(c.started)
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -20,6 +20,9 @@
 	// NoRoute counts those of the refused requests for which there was no route.
 	NoRoute uint64 `json:"no_route"`
 	Unknown uint64 `json:"unknown"`
+	// RefusedCold counts those of the refused requests that only cold targets could take, none
+	// of them in time.
+	RefusedCold uint64 `json:"refused_cold,omitempty"`
 	// Disconnected counts callers that disconnected before their response.
 	Disconnected uint64 `json:"gone"`
 	// Sent counts requests sent to targets, Probes health checks including load
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -53,6 +53,10 @@
 	Report *placement.Report
 	// Announcement is what the target announces about the requests that it wants.
 	Announcement placement.Announcement
+	// ColdFor is the remaining time for which the target is cold. TellsCold is set if the
+	// response tells it.
+	ColdFor   time.Duration
+	TellsCold bool
 }
 
 // mayBeFrom reports whether the response may have come from the given target.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,8 @@
 	Retries float64
 	// Probes is the share of the probe rate. 0 means that probes are unlimited.
 	Probes float64
+	// Cold is the share of the rate at which a cold target may get requests.
+	Cold float64
 	// Places is the part of the permits for targets that don't report their load.
 	Places placement.Partition
 }
@@ -103,6 +105,9 @@
 	name       string
 	healthPath string
 	pool       *placement.Pool
+	// coldStart and coldRate are those of the configuration; no cold rate means no limit.
+	coldStart time.Duration
+	coldRate  float64
 	// expiry calls the pool's Tick when it is due.
 	expiry *timer
 }
@@ -183,7 +188,7 @@
 		g.table = table
 		setLimits(table.Limits())
 		for _, configured := range table.Services() {
-			g.service(configured.Name).healthPath = configured.HealthPath
+			g.configureService(configured)
 		}
 		g.revision.Store(table.Revision())
 		g.log.configured(table)
@@ -221,10 +226,12 @@
 // SetShares sets this daemon's shares of the common budgets.
 func (g *Gateway) SetShares(shares Shares) {
 	g.runOnLoop(func() {
-		if g.shares == shares {
+		changed := g.shares != shares
+		g.shares = shares
+		g.renewColdLimits(time.Now())
+		if !changed {
 			return
 		}
-		g.shares = shares
 		for _, s := range g.services {
 			g.applyShares(s.pool)
 		}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -77,6 +77,9 @@
 		return
 	}
 	info := g.options.Dialect.ClassifyProbe(response)
+	if info.mayBeFrom(target) {
+		g.recordColdTime(now, s, target, info)
+	}
 	if info.mayBeFrom(target) && info.Announcement != (placement.Announcement{}) {
 		g.log.announcement(now, s, target, info.Announcement)
 		g.perform(s, s.pool.RecordAnnouncement(now, target, info.Announcement))
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -78,6 +78,8 @@
 	quarantine *quarantine.Coordinator
 	// retryShare is accessed only by updateShares.
 	retryShare retryShare
+	// coldShare is accessed only by updateShares.
+	coldShare coldShare
 
 	// rejectedConfigs counts the configurations that were invalid.
 	rejectedConfigs atomic.Uint64
@@ -118,6 +120,7 @@
 func (d *Daemon) Run(signals <-chan os.Signal) error {
 	d.started = time.Now()
 	d.retryShare.startedAt = d.started
+	d.coldShare = newColdShare(d.settings.ColdSlack, len(d.settings.Zones))
 	self := heartbeat.Member{
 		Name:          d.settings.Name,
 		Zone:          d.settings.Zone,
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -45,6 +45,8 @@
 	// ProbeRate is the maximum number of probes per second to each target by all daemons
 	// together. 0 means unlimited.
 	ProbeRate float64
+	// ColdSlack is the number of requests beyond its rate that a cold target bears.
+	ColdSlack float64
 }
 
 // Feeds are the objects in the platform's store that a daemon watches.
--- a/internal/gatewayd/shares.go
+++ b/internal/gatewayd/shares.go
@@ -66,6 +66,7 @@
 	shares := gateway.Shares{
 		Retries: d.retryShare.at(now, d.settings.RetryWindow, zones, status),
 		Probes:  probeMargin * (1 - advertisedProbes) * perDaemon,
+		Cold:    d.coldShare.at(now, zones, status, d.node.Responding()),
 	}
 	if status.Advertised {
 		shares.Places = placement.Partition{Index: status.Index, Of: status.AdvertisedDaemons}
--- a/internal/heartbeat/advertised.go
+++ b/internal/heartbeat/advertised.go
@@ -155,6 +155,18 @@
 	AdvertisedDaemons, Daemons int
 }
 
+// Responding returns the number of the zone's daemons that answer pings, this one included and
+// whether they can serve or not.
+func (m *Membership) Responding(now time.Time) int {
+	responding := 1
+	for _, known := range m.records {
+		if known.answers(now) {
+			responding++
+		}
+	}
+	return responding
+}
+
 // ZoneStatus returns this daemon's position in its zone.
 func (m *Membership) ZoneStatus(now time.Time) ZoneStatus {
 	advertised := m.advertised(now)
--- a/internal/heartbeat/membership.go
+++ b/internal/heartbeat/membership.go
@@ -207,7 +207,12 @@
 
 // responds reports whether a member that isn't draining answers pings.
 func (k *record) responds(now time.Time) bool {
-	if k.State == Draining || k.heardAt.IsZero() {
+	return k.State != Draining && k.answers(now)
+}
+
+// answers reports whether a member answers pings, also while it is draining.
+func (k *record) answers(now time.Time) bool {
+	if k.heardAt.IsZero() {
 		return false
 	}
 	return k.unansweredSince.IsZero() || now.Sub(k.unansweredSince) < answerTimeout
--- a/internal/heartbeat/node.go
+++ b/internal/heartbeat/node.go
@@ -105,6 +105,13 @@
 	return n.membership.ZoneStatus(time.Now())
 }
 
+// Responding returns the number of the zone's daemons that answer pings, this one included.
+func (n *Node) Responding() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.membership.Responding(time.Now())
+}
+
 // Active reports whether this daemon is advertised or a standby.
 func (n *Node) Active() bool {
 	n.mu.Lock()
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -29,7 +29,7 @@
 	filter := p.targetFilter(now)
 	waiting := p.queue[:0]
 	for _, r := range p.queue {
-		if !p.place(now, r, filter) {
+		if !p.place(now, r, filter, len(waiting)) {
 			waiting = append(waiting, r)
 		}
 	}
@@ -56,8 +56,8 @@
 }
 
 // place sends a queued request to a target, or ends its wait because no target can take
-// it. It returns false if the request has to wait.
-func (p *Pool) place(now time.Time, r *Request, filter targetFilter) bool {
+// it. It returns false if the request has to wait, like the given number ahead of it.
+func (p *Pool) place(now time.Time, r *Request, filter targetFilter, ahead int) bool {
 	if len(r.inFlight) > 0 && !r.inTime(now) {
 		// A hedge would not be answered in time either.
 		r.queued = false
@@ -67,12 +67,16 @@
 		p.send(now, r, t)
 		return true
 	}
-	if p.hasUntriedTarget(now, r, filter) {
-		return false
+	reason := ReasonCold
+	if !p.coldExhausted(now, r, filter, ahead) {
+		if p.hasUntriedTarget(now, r, filter) {
+			return false
+		}
+		reason = p.unavailableReason(now)
 	}
 	r.queued = false
 	if len(r.inFlight) == 0 {
-		p.fail(now, r, p.unavailableReason(now))
+		p.fail(now, r, reason)
 	}
 	return true
 }
@@ -102,6 +106,7 @@
 	if !r.Idempotent && (r.mayHaveRun || len(r.inFlight) > 0) {
 		invariant.Breached(invariant.DispatchedOnce, "non-idempotent request that may have run sent to %s", t.ID)
 	}
+	p.recordColdSend(now, t)
 	slowness := t.Slowness(now)
 	a := &Attempt{Request: r, Target: t, Slowness: slowness, sentAt: now, workDoneAt: now, currentSlowness: slowness}
 	r.queued = false
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -82,6 +82,8 @@
 	localOnly bool
 	// ignorePermits allows targets for which the daemon holds no free permit.
 	ignorePermits bool
+	// coldSpacing is the minimum time between two requests to a cold target; 0 allows none.
+	coldSpacing time.Duration
 }
 
 // constraintsFor returns the constraints that apply to a request now.
@@ -91,6 +93,7 @@
 		allowStale:    p.noReports || len(r.inFlight) == 0 && now.Sub(r.arrived) > maxReportWait && p.probes == 0,
 		localOnly:     now.Before(r.crossZoneAllowedAt()) && p.hasLocalTarget(now, filter),
 		ignorePermits: p.lacksPermits(now, filter),
+		coldSpacing:   p.coldSpacing(now),
 	}
 }
 
@@ -103,13 +106,19 @@
 		return false
 	case t.noReports && t.ownLoad() >= t.permits && !c.ignorePermits:
 		return false
+	case !t.cold.mayTake(now, c.coldSpacing):
+		return false
 	}
-	return c.allowStale || t.hasFreshReport(now)
+	// The rate of a cold target is limited, so its load needn't be known.
+	return c.allowStale || t.hasFreshReport(now) || t.cold.isCold(now)
 }
 
 // choose returns the target to which a request is sent now, or nil if it has to wait.
 func (p *Pool) choose(now time.Time, r *Request, filter targetFilter) *Target {
 	constraints := p.constraintsFor(now, r, filter)
+	if due := p.dueCold(now, r, constraints); due != nil {
+		return due
+	}
 	var best *Target
 	bestCost := 0.0
 	for _, t := range p.list {
@@ -137,7 +146,7 @@
 	if len(r.inFlight) > 0 {
 		return slowness <= acceptableSlowness
 	}
-	if !r.inTime(now) && p.contended(now) && t.Load(now) >= max(1, t.requestLimit()-1) {
+	if !r.inTime(now) && p.contended(now) && t.Load(now) >= max(1, t.requestLimit(now)-1) {
 		// A late request must not take room from requests that can still be in time.
 		return false
 	}
--- /dev/null
+++ b/internal/placement/cold.go
@@ -0,0 +1,320 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/poplarwheel/poplarwheel/internal/invariant"
+)
+
+// A target is cold for some time after its start, and may become cold again. A cold target runs
+// slowly and fails if it receives too many requests per second. All daemons together send it at
+// most the service's cold rate: each has a share of the rate and keeps a minimum time between two
+// requests to a cold target, so that no share allows a burst.
+
+const (
+	// coldMargin is the fraction of the cold rate that is used. The rest covers requests whose
+	// arrivals are closer together than their sends.
+	coldMargin = 0.9
+	// coldWindow is the time within which the requests to a cold target are counted. What was
+	// sent to a target just before it was known to be cold counts, too.
+	coldWindow = time.Second
+	// coldRamp is the time after the cold time during which the load of a target rises to the
+	// usual limit.
+	coldRamp = 2 * time.Second
+	// coldTrickle is the interval at which a cold target gets a request although faster targets
+	// have room. A target that gets none at all does not warm up.
+	coldTrickle = time.Second
+	// coldShareExpiry is how long a share holds without being set again. A daemon that was frozen
+	// must not use the share that it had before.
+	coldShareExpiry = 2 * time.Second
+)
+
+// ColdLimit limits the requests to cold targets of a service.
+type ColdLimit struct {
+	// Rate is the number of requests per second that a cold target may get from all daemons
+	// together. 0 means no limit.
+	Rate float64
+	// Share is the fraction of Rate that this daemon may use. The shares of all daemons must not
+	// add up to more than 1.
+	Share float64
+	// Start is how long a target that has restarted is cold if its entry does not tell.
+	Start time.Duration
+}
+
+// coldLimiter applies a ColdLimit to the targets of a pool.
+type coldLimiter struct {
+	limit ColdLimit
+	// setAt is when the limit was last set.
+	setAt time.Time
+	// targets holds the states of the targets by ID. It is nil without a limit.
+	targets map[string]*coldState
+}
+
+// coldState is what is known of the cold times of a target. It outlives restarts of the target.
+type coldState struct {
+	incarnation int64
+	// until is the end of the last cold time; zero if there was none.
+	until time.Time
+	// learnedAt is when until was last extended.
+	learnedAt time.Time
+	// assumed is set if the cold time is not based on a sign of the target.
+	assumed bool
+	// listed is the cold time that was taken last from the target's entry.
+	listed listedCold
+	// sentAt is when this daemon last sent the target a request.
+	sentAt time.Time
+	// earliest is the time before which the cold target gets no request from this daemon.
+	earliest time.Time
+	// seenAt is when the target was last listed.
+	seenAt time.Time
+}
+
+// listedCold identifies a version of a target's entry that says that the target is cold.
+type listedCold struct {
+	remaining time.Duration
+	revision  uint64
+}
+
+// SetColdLimit sets the limit for cold targets. It has to be repeated within coldShareExpiry.
+// Without that the daemon sends cold targets nothing.
+func (p *Pool) SetColdLimit(now time.Time, limit ColdLimit) {
+	p.cold.limit, p.cold.setAt = limit, now
+	switch {
+	case limit.Rate <= 0:
+		p.cold.targets = nil
+	case p.cold.targets == nil:
+		p.cold.targets = map[string]*coldState{}
+	default:
+		return
+	}
+	for _, t := range p.list {
+		p.trackCold(now, t)
+		if t.cold != nil && now.Before(t.slowStartUntil) {
+			p.beginCold(now, t, t.slowStartUntil.Sub(now))
+		}
+	}
+}
+
+// coldSpacing returns the minimum time between two requests to a cold target; 0 means that the
+// daemon sends it none.
+func (p *Pool) coldSpacing(now time.Time) time.Duration {
+	rate := coldMargin * p.cold.limit.Rate * p.cold.limit.Share
+	if rate <= 0 || now.Sub(p.cold.setAt) > coldShareExpiry {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
+
+// trackCold connects a listed target with its cold state, and applies its entry.
+func (p *Pool) trackCold(now time.Time, t *Target) {
+	t.cold = nil
+	if p.cold.targets == nil {
+		return
+	}
+	state := p.cold.targets[t.ID]
+	if state == nil {
+		state = &coldState{incarnation: t.Incarnation}
+		p.cold.targets[t.ID] = state
+	}
+	t.cold = state
+	state.seenAt = now
+	if t.Incarnation < state.incarnation {
+		// The list is outdated.
+		return
+	}
+	restarted := t.Incarnation > state.incarnation
+	state.incarnation = t.Incarnation
+	listed := listedCold{remaining: t.SlowStartFor, revision: t.EntryRevision}
+	switch {
+	case t.SlowStartFor > 0 && (restarted || listed != state.listed):
+		p.beginCold(now, t, t.SlowStartFor)
+	case t.SlowStartFor <= 0 && restarted:
+		p.beginCold(now, t, p.cold.limit.Start)
+	}
+	state.listed = listed
+}
+
+// forgetCold drops the states of targets that have not been listed for long.
+func (p *Pool) forgetCold(now time.Time) {
+	for id, state := range p.cold.targets {
+		if now.Sub(state.seenAt) > announcementMemory {
+			delete(p.cold.targets, id)
+		}
+	}
+}
+
+// beginCold records that a target is cold for at least the remaining time.
+func (p *Pool) beginCold(now time.Time, t *Target, remaining time.Duration) {
+	state := t.cold
+	if !state.isCold(now) {
+		state.earliest = state.firstSend(now, p.coldSpacing(now), p.rng)
+	}
+	if until := now.Add(remaining); until.After(state.until) {
+		state.until = until
+	}
+	state.learnedAt = now
+	state.assumed = false
+}
+
+// assumeCold treats a target as cold until a health check shows that it isn't.
+func (p *Pool) assumeCold(now time.Time, t *Target) {
+	if t.cold != nil && !t.cold.isCold(now) {
+		p.beginCold(now, t, p.cold.limit.Start)
+		t.cold.assumed = true
+	}
+}
+
+// firstSend returns the time of the first request to a target that has just become cold. It is
+// random, so that the daemons don't send theirs at once.
+func (c *coldState) firstSend(now time.Time, spacing time.Duration, rng *rand.Rand) time.Time {
+	first := now
+	if now.Sub(c.sentAt) < coldWindow {
+		first = c.sentAt.Add(coldWindow)
+	}
+	if jitter := min(spacing, coldWindow); jitter > 0 {
+		first = first.Add(time.Duration(rng.Int64N(int64(jitter))))
+	}
+	return first
+}
+
+// RecordColdTime handles what the response to a health check of a target says of its cold time.
+// told is set if it says anything; otherwise the target isn't known to be cold. A remaining time
+// replaces what was known before the check.
+func (p *Pool) RecordColdTime(now time.Time, t *Target, remaining time.Duration, told bool) {
+	state := t.cold
+	switch {
+	case state == nil || t.Incarnation < state.incarnation:
+	case told && remaining > 0 && !state.isCold(now):
+		p.beginCold(now, t, remaining)
+	case told && t.probing && !t.probedAt.Before(state.learnedAt):
+		state.until = earlier(state.until, now)
+		if remaining > 0 {
+			state.until = now.Add(remaining)
+		}
+		state.assumed = false
+	case told && remaining > 0:
+		p.beginCold(now, t, remaining)
+	case !told && state.assumed:
+		state.until = earlier(state.until, now)
+		state.assumed = false
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// isCold reports whether the target is cold.
+func (c *coldState) isCold(now time.Time) bool { return c != nil && now.Before(c.until) }
+
+// Cold reports whether the target is cold and the requests to it are limited.
+func (t *Target) Cold(now time.Time) bool { return t.cold.isCold(now) }
+
+// isStarting reports whether the target is slow because it is cold or has just started.
+func (t *Target) isStarting(now time.Time) bool {
+	if t.cold != nil {
+		return t.cold.isCold(now)
+	}
+	return now.Before(t.slowStartUntil)
+}
+
+// startingSlowness returns the slowness to expect of a starting target.
+func (t *Target) startingSlowness(slowness float64) float64 {
+	if t.cold != nil {
+		// The reports of a cold target include that it is slow.
+		return max(slowness, slowStartFactor)
+	}
+	return slowness * slowStartFactor
+}
+
+// rampLimit lowers a limit of concurrent requests during the time after the target was cold.
+func (c *coldState) rampLimit(now time.Time, limit int) int {
+	if c == nil || c.until.IsZero() || now.Before(c.until) {
+		return limit
+	}
+	if since := now.Sub(c.until); since < coldRamp {
+		return max(1, int(float64(limit)*float64(since)/float64(coldRamp)))
+	}
+	return limit
+}
+
+// nextSend returns when this daemon may send the cold target a request; spacing is the minimum time
+// between two.
+func (c *coldState) nextSend(spacing time.Duration) time.Time {
+	if next := c.sentAt.Add(spacing); next.After(c.earliest) {
+		return next
+	}
+	return c.earliest
+}
+
+// mayTake reports whether the target isn't cold, or may get a request at the given spacing.
+func (c *coldState) mayTake(now time.Time, spacing time.Duration) bool {
+	return !c.isCold(now) || spacing > 0 && !now.Before(c.nextSend(spacing))
+}
+
+// sendsUntil returns the number of requests that the cold target may get until a time.
+func (c *coldState) sendsUntil(now, until time.Time, spacing time.Duration) int {
+	next := c.nextSend(spacing)
+	if next.Before(now) {
+		next = now
+	}
+	if spacing <= 0 || next.After(until) {
+		return 0
+	}
+	return 1 + int(until.Sub(next)/spacing)
+}
+
+// recordColdSend records the send of a request to a target.
+func (p *Pool) recordColdSend(now time.Time, t *Target) {
+	if t.cold == nil {
+		return
+	}
+	if !t.cold.mayTake(now, p.coldSpacing(now)) {
+		invariant.Breached(invariant.ColdRate, "request sent to cold target %s beyond the daemon's share", t.ID)
+	}
+	t.cold.sentAt = now
+}
+
+// dueCold returns a cold target that has not got a request for coldTrickle and can answer the
+// request in time, or nil.
+func (p *Pool) dueCold(now time.Time, r *Request, constraints constraints) *Target {
+	expected := time.Duration(slowStartFactor * serviceTimeMargin * float64(r.ServiceTime))
+	if constraints.coldSpacing <= 0 || len(r.tried) > 0 || !now.Add(expected).Before(r.SoftDeadline) {
+		return nil
+	}
+	var due *Target
+	for _, t := range p.list {
+		if !t.cold.isCold(now) || now.Sub(t.cold.sentAt) < coldTrickle || !constraints.allows(now, t, r, p.zone) {
+			continue
+		}
+		if due == nil || t.cold.sentAt.Before(due.cold.sentAt) {
+			due = t
+		}
+	}
+	return due
+}
+
+// coldExhausted reports whether only cold targets can take a request, and their rate is used up by
+// the given number of requests ahead of it until it would be too late.
+func (p *Pool) coldExhausted(now time.Time, r *Request, filter targetFilter, ahead int) bool {
+	if p.cold.targets == nil {
+		return false
+	}
+	spacing, until := p.coldSpacing(now), p.latestStart(r)
+	found, sends := false, 0
+	for _, t := range p.list {
+		if !filter.allows(now, t) || r.hasTried(t) {
+			continue
+		}
+		if !t.cold.isCold(now) {
+			return false
+		}
+		found = true
+		sends += t.cold.sendsUntil(now, until, spacing)
+	}
+	return found && sends <= ahead
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -59,6 +59,7 @@
 	list      []*Target
 	// announcements outlives the targets' entries in the list.
 	announcements announcements
+	cold          coldLimiter
 	group         outlier.Group
 	queue         []*Request
 	actions       []Action
@@ -123,6 +124,7 @@
 		}
 		t.TargetInfo = info
 		t.noReports = p.noReports
+		p.trackCold(now, t)
 		next[info.ID] = t
 		p.list = append(p.list, t)
 	}
@@ -134,6 +136,7 @@
 	}
 	p.targets = next
 	p.announcements.forgetUnlisted(now)
+	p.forgetCold(now)
 	p.updateProbeLimiter(now)
 	p.rebuildGroup()
 	p.assignPermits()
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -87,7 +87,7 @@
 		if t.Zone != p.zone && localOnly {
 			continue
 		}
-		if filter.allows(now, t) && !t.probing && !t.hasFreshReport(now) && t.ownLoad() < t.requestLimit() && now.Sub(t.probedAt) >= p.probeInterval(now, t) {
+		if filter.allows(now, t) && !t.probing && !t.hasFreshReport(now) && t.ownLoad() < t.requestLimit(now) && now.Sub(t.probedAt) >= p.probeInterval(now, t) {
 			candidates = append(candidates, t)
 		}
 	}
@@ -119,7 +119,7 @@
 	if t.Zone != p.zone {
 		order += maxLoadRank
 	}
-	if now.Before(t.slowStartUntil) {
+	if t.isStarting(now) {
 		order += maxLoadRank
 	}
 	return order
--- a/internal/placement/refuse.go
+++ b/internal/placement/refuse.go
@@ -64,7 +64,7 @@
 	if left, paused := p.pauseLeft(now); paused {
 		return left + p.jitter(retryAfterJitter)
 	}
-	if reason != ReasonOverload && reason != ReasonNoTarget && p.backlogSince.IsZero() {
+	if reason != ReasonOverload && reason != ReasonNoTarget && reason != ReasonCold && p.backlogSince.IsZero() {
 		return shortRetryAfter + p.jitter(shortRetryAfter)
 	}
 	wait := p.sendRate.timeToSend(now, len(p.queue)+1)
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -171,7 +171,9 @@
 	ReasonNoTarget Reason = "no_target"
 	ReasonOverload Reason = "overload"
 	// ReasonPaused means that all targets that are not leaving have asked for a pause.
-	ReasonPaused       Reason = "paused"
+	ReasonPaused Reason = "paused"
+	// ReasonCold means that all targets are cold and can't take the request in time.
+	ReasonCold         Reason = "cold"
 	ReasonTimeout      Reason = "timeout"
 	ReasonTargetLost   Reason = "target_lost"
 	ReasonRetryBudget  Reason = "retry_budget"
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -39,6 +39,8 @@
 	Draining bool
 	// SlowStartFor is the remaining slow start time of the target.
 	SlowStartFor time.Duration
+	// EntryRevision changes with each change of the target's entry. 0 means unknown.
+	EntryRevision uint64
 }
 
 // Report is the load that a target reports.
@@ -58,8 +60,10 @@
 	// running holds this daemon's attempts at the target.
 	running        []*Attempt
 	slowStartUntil time.Time
-	gone           bool
-	probing        bool
+	// cold is nil if requests to cold targets are not limited.
+	cold    *coldState
+	gone    bool
+	probing bool
 	// probedAt is when the target was last probed.
 	probedAt time.Time
 
@@ -113,11 +117,12 @@
 
 // requestLimit returns the number of requests up to which the target gets more: those
 // of all daemons, or of this one alone if the target does not report its load.
-func (t *Target) requestLimit() int {
+func (t *Target) requestLimit(now time.Time) int {
+	limit := t.concurrencyLimit()
 	if t.noReports {
-		return max(t.permits, sparePermits)
+		limit = max(t.permits, sparePermits)
 	}
-	return t.concurrencyLimit()
+	return t.cold.rampLimit(now, limit)
 }
 
 // concurrencyLimit returns the number of requests up to the saturation point of the
@@ -139,7 +144,7 @@
 }
 
 // hasRoom reports whether the target can take another request.
-func (t *Target) hasRoom(now time.Time) bool { return t.Load(now) < t.requestLimit() }
+func (t *Target) hasRoom(now time.Time) bool { return t.Load(now) < t.requestLimit(now) }
 
 // hasFreshReport reports whether the last load report is still fresh.
 func (t *Target) hasFreshReport(now time.Time) bool {
@@ -166,8 +171,8 @@
 	case t.hasReport:
 		slowness = decay(t.report.Slowness, defaultSlowness, now.Sub(t.reportedAt), slownessDecay)
 	}
-	if now.Before(t.slowStartUntil) {
-		slowness *= slowStartFactor
+	if t.isStarting(now) {
+		slowness = t.startingSlowness(slowness)
 	}
 	return slowness
 }
@@ -201,6 +206,8 @@
 	// report.
 	Slowness    float64 `json:"slowness"`
 	ReportAgeMs int64   `json:"report_age_ms"`
+	// ColdMs is the remaining time for which requests to the target are limited.
+	ColdMs int64 `json:"cold_ms,omitempty"`
 }
 
 // State returns the state of the target for a dump.
@@ -216,6 +223,9 @@
 	if t.announced.paused(now) {
 		state.PausedMs = t.announced.pausedUntil.Sub(now).Milliseconds()
 	}
+	if t.cold.isCold(now) {
+		state.ColdMs = t.cold.until.Sub(now).Milliseconds()
+	}
 	if t.hasReport {
 		state.Slowness = t.report.Slowness
 		state.ReportAgeMs = now.Sub(t.reportedAt).Milliseconds()
