Evacuate availability zones

An object of kind evacuations, named after an availability zone, requests that no traffic be sent to the targets of that zone until it is deleted. Requests, retries and hedges go to targets of other zones, attempts in flight go on. A daemon isn't ready before it has read the kind once. If all zones are evacuated, requests are refused at once with reason evacuated.

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -45,8 +45,11 @@
 // recordRefused counts a refused request.
 func (c *Counts) recordRefused(reason placement.Reason) {
 	c.Refused++
-	if reason == placement.ReasonCold {
+	switch reason {
+	case placement.ReasonCold:
 		c.RefusedCold++
+	case placement.ReasonEvacuated:
+		c.RefusedEvacuated++
 	}
 }
 
--- a/internal/gateway/counts.go
+++ b/internal/gateway/counts.go
@@ -23,6 +23,8 @@
 	// RefusedCold counts those of the refused requests that only cold targets could take, none
 	// of them in time.
 	RefusedCold uint64 `json:"refused_cold,omitempty"`
+	// RefusedEvacuated counts those that were refused because all zones are evacuated.
+	RefusedEvacuated uint64 `json:"refused_evacuated,omitempty"`
 	// Disconnected counts callers that disconnected before their response.
 	Disconnected uint64 `json:"gone"`
 	// Sent counts requests sent to targets, Probes health checks including load
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,8 @@
 	// drain is nil until the daemon starts to drain.
 	drain  *drain
 	shares Shares
+	// evacuated are the availability zones whose targets get no requests.
+	evacuated []string
 }
 
 // service is a service with the pool that places its requests.
@@ -256,6 +258,7 @@
 	s.pool.SetZones(g.options.Zones)
 	s.expiry = newTimer(func(now time.Time) { g.perform(s, s.pool.Tick(now)) })
 	g.applyShares(s.pool)
+	s.pool.SetEvacuated(time.Now(), g.evacuated)
 	g.services[name] = s
 	return s
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -18,6 +18,8 @@
 	// ResponseBytes is the size of the incomplete responses of targets.
 	ResponseBytes int64          `json:"response_bytes"`
 	Services      []ServiceState `json:"services"`
+	// Evacuated are the availability zones whose targets get no requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // ServiceState is a snapshot of a service's pool.
@@ -50,6 +52,7 @@
 	if g.table != nil {
 		state.Routes = len(g.table.Routes())
 	}
+	state.Evacuated = g.evacuated
 	for name, s := range g.services {
 		service := ServiceState{Name: name, Queued: s.pool.Queued()}
 		for _, t := range s.pool.Targets() {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -88,6 +88,8 @@
 
 	hasConfig  atomic.Bool
 	hasTargets atomic.Bool
+	// hasEvacuations is set once the evacuated zones are known, or if they are not watched.
+	hasEvacuations atomic.Bool
 	// askedPeers is set once other daemons were asked for a newer configuration than the
 	// platform's, whether they have answered or not.
 	askedPeers atomic.Bool
@@ -218,10 +220,10 @@
 	}
 }
 
-// updateReadiness announces to other daemons that this one is ready, once it has both a
-// configuration and targets and has asked other daemons for a newer configuration.
+// updateReadiness announces to other daemons that this one is ready, once it has a
+// configuration and targets, knows the evacuated zones and has asked other daemons for a newer configuration.
 func (d *Daemon) updateReadiness() {
-	if d.stopping.Load() || !d.hasConfig.Load() || !d.hasTargets.Load() || !d.askedPeers.Load() {
+	if d.stopping.Load() || !d.hasConfig.Load() || !d.hasTargets.Load() || !d.hasEvacuations.Load() || !d.askedPeers.Load() {
 		return
 	}
 	if !d.serving.Swap(true) {
--- a/internal/gatewayd/feeds.go
+++ b/internal/gatewayd/feeds.go
@@ -21,7 +21,7 @@
 	store := relay.New(relay.Options{
 		Store:            feeds.Store,
 		Caller:           client,
-		Kinds:            []relay.Kind{{Name: feeds.ConfigKind}, {Name: feeds.TargetsKind, PreferPeers: true}},
+		Kinds:            relayedKinds(feeds),
 		Sources:          d.node.Sources,
 		ReadsDirectly:    d.node.Active,
 		IsReader:         d.isReader,
@@ -40,6 +40,7 @@
 	go d.monitor.Run()
 	go feed.NewFollower(store, d.monitor, feeds.ConfigKind, config, d.log).Run()
 	go feed.NewFollower(store, d.monitor, feeds.TargetsKind, targets, d.log).Run()
+	d.followEvacuations(store, feeds)
 	return nil
 }
 
--- a/internal/gatewayd/metrics.go
+++ b/internal/gatewayd/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
 	"github.com/poplarwheel/poplarwheel/internal/invariant"
+	"github.com/poplarwheel/poplarwheel/internal/placement"
 )
 
 // collector exports the daemon's counters to Prometheus.
@@ -25,6 +26,9 @@
 	givenUpDesc             = newDesc("given_up_answers_total", "Answers of targets that were given up, by what was wrong.", "violation")
 	answerBytesDesc         = newDesc("incomplete_answer_bytes", "Bytes of answers of targets that are incomplete.")
 	probesDesc              = newDesc("probes_total", "Questions to targets for their load, by result.", "result")
+	coldTargetsDesc         = newDesc("cold_targets", "Targets to which requests are limited because they are cold, by service.", "service")
+	refusalsDesc            = newDesc("target_refusals_total", "Requests that were refused because all targets are cold or evacuated, by reason.", "reason")
+	evacuatedDesc           = newDesc("evacuated_zones", "Availability zones whose targets get no requests.")
 	queuedDesc              = newDesc("queued", "Requests that wait for a target, by service.", "service")
 	targetsDesc             = newDesc("targets", "Targets, by service and state.", "service", "state")
 	rejectionsDesc          = newDesc("rejections_total", "Requests that were refused because they can't be parsed or have no route, by reason.", "reason")
@@ -42,7 +46,7 @@
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc,
-		probesDesc, queuedDesc, targetsDesc,
+		probesDesc, queuedDesc, targetsDesc, coldTargetsDesc, refusalsDesc, evacuatedDesc,
 		rejectionsDesc, rejectedConfigsDesc, revisionDesc,
 		platformUnavailableDesc, storeEpochDesc, feedAgeDesc, advertisedDesc,
 		suspectsDesc, violationsDesc,
@@ -72,6 +76,9 @@
 	}
 	counter(rejectedConfigsDesc, c.daemon.rejectedConfigs.Load())
 	counter(lateDesc, counts.Late)
+	counter(refusalsDesc, counts.RefusedCold, string(placement.ReasonCold))
+	counter(refusalsDesc, counts.RefusedEvacuated, string(placement.ReasonEvacuated))
+	gauge(evacuatedDesc, float64(len(state.Evacuated)))
 	counter(sentDesc, counts.Sent)
 	for violation, count := range counts.Violations {
 		counter(givenUpDesc, count, string(violation))
@@ -98,9 +105,14 @@
 	for _, service := range state.Services {
 		gauge(queuedDesc, float64(service.Queued), service.Name)
 		states := map[string]int{}
+		cold := 0
 		for _, target := range service.Targets {
 			states[target.State]++
+			if target.ColdMs > 0 {
+				cold++
+			}
 		}
+		gauge(coldTargetsDesc, float64(cold), service.Name)
 		for name, count := range states {
 			gauge(targetsDesc, float64(count), service.Name, name)
 		}
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -61,6 +61,11 @@
 	TargetsKind string
 	// DecodeTarget decodes an object that describes a target.
 	DecodeTarget feed.DecodeTarget
+	// EvacuationsKind is the kind of the objects by which availability zones are evacuated, or
+	// empty if they are not watched.
+	EvacuationsKind string
+	// DecodeEvacuation returns the zone that an object evacuates.
+	DecodeEvacuation feed.DecodeEvacuation
 }
 
 // Platform is the environment in which a daemon runs. It is safe for concurrent use.
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -32,6 +32,8 @@
 	LeavingGetsNothing Name = "leaving_gets_nothing"
 	// PausedGetsNothing: no attempt starts at a target within the pause that it asked for.
 	PausedGetsNothing Name = "paused_gets_nothing"
+	// EvacuatedGetsNothing: no attempt starts at a target of an evacuated zone.
+	EvacuatedGetsNothing Name = "evacuated_gets_nothing"
 	// ColdRate: no daemon sends a cold target more than its share of the service's cold rate.
 	ColdRate Name = "cold_rate"
 	// RetryBudget: retries and hedges stay within their budgets.
--- a/internal/placement/announcement.go
+++ b/internal/placement/announcement.go
@@ -110,7 +110,7 @@
 		if filter.accepts(now, t) {
 			return 0, false
 		}
-		if t.isLeaving() || !t.announced.paused(now) {
+		if t.isLeaving() || t.evacuated || !t.announced.paused(now) {
 			continue
 		}
 		if first == nil || t.announced.pausedUntil.Before(first.announced.pausedUntil) {
@@ -128,5 +128,8 @@
 	if _, paused := p.pauseLeft(now); paused {
 		return ReasonPaused
 	}
+	if p.allEvacuated() {
+		return ReasonEvacuated
+	}
 	return ReasonNoTarget
 }
--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -100,6 +100,9 @@
 	if t.isDelisted() || t.announced.leaving() && !t.announced.leavingRecently(now) {
 		invariant.Breached(invariant.LeavingGetsNothing, "request sent to leaving target %s", t.ID)
 	}
+	if t.evacuated {
+		invariant.Breached(invariant.EvacuatedGetsNothing, "request sent to target %s of an evacuated zone", t.ID)
+	}
 	if t.announced.paused(now) {
 		invariant.Breached(invariant.PausedGetsNothing, "request sent to paused target %s", t.ID)
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -29,7 +29,7 @@
 func (p *Pool) targetFilter(now time.Time) targetFilter {
 	filter := targetFilter{lastResort: true}
 	for _, t := range p.list {
-		if !t.isLeaving() && !t.announced.paused(now) {
+		if !t.isLeaving() && !t.evacuated && !t.announced.paused(now) {
 			filter.lastResort = false
 			break
 		}
@@ -53,7 +53,7 @@
 
 // accepts reports whether a target accepts new requests, whatever its health.
 func (f targetFilter) accepts(now time.Time, t *Target) bool {
-	if t.isDelisted() || t.announced.paused(now) {
+	if t.isDelisted() || t.evacuated || t.announced.paused(now) {
 		return false
 	}
 	if f.lastResort {
--- a/internal/placement/permits.go
+++ b/internal/placement/permits.go
@@ -91,7 +91,7 @@
 	maxPermits := 0
 	for _, t := range targets {
 		// Announcements don't count: the other daemons may not know them.
-		if !t.isDelisted() {
+		if !t.isDelisted() && !t.evacuated {
 			serving = append(serving, t)
 			maxPermits = max(maxPermits, t.concurrencyLimit())
 		}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -60,10 +60,12 @@
 	// announcements outlives the targets' entries in the list.
 	announcements announcements
 	cold          coldLimiter
-	group         outlier.Group
-	queue         []*Request
-	actions       []Action
-	sendRate      sendRate
+	// evacuated are the availability zones whose targets get no requests.
+	evacuated []string
+	group     outlier.Group
+	queue     []*Request
+	actions   []Action
+	sendRate  sendRate
 	// monitored holds the attempts that are checked for slowness while they run.
 	monitored []*Attempt
 	// probeLimiter limits the probes to probeRate a second and target; nil means no
@@ -124,6 +126,7 @@
 		}
 		t.TargetInfo = info
 		t.noReports = p.noReports
+		t.evacuated = p.isEvacuated(t.Zone)
 		p.trackCold(now, t)
 		next[info.ID] = t
 		p.list = append(p.list, t)
--- a/internal/placement/refuse.go
+++ b/internal/placement/refuse.go
@@ -64,13 +64,22 @@
 	if left, paused := p.pauseLeft(now); paused {
 		return left + p.jitter(retryAfterJitter)
 	}
-	if reason != ReasonOverload && reason != ReasonNoTarget && reason != ReasonCold && p.backlogSince.IsZero() {
+	if reason.mayBeShort() && p.backlogSince.IsZero() {
 		return shortRetryAfter + p.jitter(shortRetryAfter)
 	}
 	wait := p.sendRate.timeToSend(now, len(p.queue)+1)
 	return min(wait, maxRetryAfterWait) + minRetryAfter + p.jitter(retryAfterJitter)
 }
 
+// mayBeShort reports whether a caller refused for the reason finds room soon.
+func (r Reason) mayBeShort() bool {
+	switch r {
+	case ReasonOverload, ReasonNoTarget, ReasonCold, ReasonEvacuated:
+		return false
+	}
+	return true
+}
+
 func (p *Pool) jitter(limit time.Duration) time.Duration {
 	return time.Duration(p.rng.Int64N(int64(limit)))
 }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -172,6 +172,8 @@
 	ReasonOverload Reason = "overload"
 	// ReasonPaused means that all targets that are not leaving have asked for a pause.
 	ReasonPaused Reason = "paused"
+	// ReasonEvacuated means that the zones of all targets are evacuated.
+	ReasonEvacuated Reason = "evacuated"
 	// ReasonCold means that all targets are cold and can't take the request in time.
 	ReasonCold         Reason = "cold"
 	ReasonTimeout      Reason = "timeout"
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -61,9 +61,12 @@
 	running        []*Attempt
 	slowStartUntil time.Time
 	// cold is nil if requests to cold targets are not limited.
-	cold    *coldState
-	gone    bool
-	probing bool
+	cold *coldState
+	// evacuated is set if the target's zone is evacuated. rampFrom is when that ended.
+	evacuated bool
+	rampFrom  time.Time
+	gone      bool
+	probing   bool
 	// probedAt is when the target was last probed.
 	probedAt time.Time
 
@@ -122,7 +125,7 @@
 	if t.noReports {
 		limit = max(t.permits, sparePermits)
 	}
-	return t.cold.rampLimit(now, limit)
+	return t.rampLimit(now, limit)
 }
 
 // concurrencyLimit returns the number of requests up to the saturation point of the
@@ -192,7 +195,7 @@
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
-	// State is one of in, out, paused, draining, leaving and gone. Targets that are out
+	// State is one of in, out, paused, evacuated, draining, leaving and gone. Targets that are out
 	// are ejected, backing off or unhealthy; those that are paused or leaving have
 	// announced it.
 	State string `json:"state"`
@@ -241,6 +244,8 @@
 		return "draining"
 	case t.announced.leaving():
 		return "leaving"
+	case t.evacuated:
+		return "evacuated"
 	case t.announced.paused(now):
 		return "paused"
 	case t.health.Excluded(now):
