--- a/internal/gatewayd/evacuations.go
+++ b/internal/gatewayd/evacuations.go
@@ -9,7 +9,7 @@
 func relayedKinds(feeds Feeds) []relay.Kind {
 	kinds := []relay.Kind{{Name: feeds.ConfigKind}, {Name: feeds.TargetsKind, PreferPeers: true}}
 	if feeds.EvacuationsKind != "" {
-		kinds = append(kinds, relay.Kind{Name: feeds.EvacuationsKind, PreferPeers: true})
+		kinds = append(kinds, relay.Kind{Name: feeds.EvacuationsKind, PreferPeers: true, Current: true})
 	}
 	return kinds
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,9 @@
 	// PreferPeers is set if daemons that are not active read the kind from other daemons.
 	// Otherwise it is passed on only to daemons that the external store doesn't answer.
 	PreferPeers bool
+	// Current is set if the kind is never read by stale reads, which cost less but may lag behind
+	// by seconds. It is for kinds whose changes have to take effect within a second.
+	Current bool
 }
 
 // Options are the dependencies of a Store.
@@ -99,6 +102,7 @@
 	s := &Store{options: options, replicas: map[string]*replica{}}
 	for _, kind := range options.Kinds {
 		s.replicas[kind.Name] = newReplica(kind.PreferPeers)
+		s.replicas[kind.Name].neverStale = kind.Current
 	}
 	return s
 }
@@ -143,6 +147,7 @@
 		}
 		stale = stale || local.empty()
 	}
+	stale = stale && !local.neverStale
 	began := time.Now()
 	objects, at, err := s.options.Store.List(kind, stale)
 	if err == nil {
--- a/internal/relay/replica.go
+++ b/internal/relay/replica.go
@@ -24,6 +24,8 @@
 type replica struct {
 	// preferPeers is set if daemons that are not active read the kind from other daemons.
 	preferPeers bool
+	// neverStale is set if the kind is never read by stale reads.
+	neverStale bool
 
 	mu      sync.Mutex
 	objects map[string]feed.Object
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -53,6 +53,7 @@
 	if s.options.IsReader() {
 		wait, stale = min(wait, readerWatchWait), false
 	}
+	stale = stale && !local.neverStale
 	local.beginWatch()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
