Charge no retry or hedge that only cold targets could take

Such a retry was charged to the retry budget and then refused, and a hedge was charged again with each load report, since cold targets are too slow for hedges.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -21,7 +21,7 @@
 	// usual limit.
 	coldRamp = 2 * time.Second
 	// coldTrickle is the interval at which a cold target gets a request although faster targets
-	// have room. A target that gets none at all does not warm up.
+	// have room, so that a target that joins is in use from the beginning.
 	coldTrickle = time.Second
 	// coldShareExpiry is how long a share holds without being set again. A daemon that was frozen
 	// must not use the share that it had before.
--- a/internal/placement/coldrate.go
+++ b/internal/placement/coldrate.go
@@ -92,3 +92,18 @@
 	}
 	return found && sends <= ahead
 }
+
+// onlyColdLeft reports whether all targets are cold that could take the request and have not. Cold
+// targets get no hedges, because they are slow.
+func (p *Pool) onlyColdLeft(now time.Time, r *Request) bool {
+	if p.cold.targets == nil {
+		return false
+	}
+	filter := p.targetFilter(now)
+	for _, t := range p.list {
+		if filter.allows(now, t) && !r.hasTried(t) && !t.cold.isCold(now) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -105,6 +105,8 @@
 		return ReasonTimeout, false
 	case !p.hasUntriedTarget(now, r, p.targetFilter(now)):
 		return p.unavailableReason(now), false
+	case p.coldExhausted(now, r, p.targetFilter(now), 0):
+		return ReasonCold, false
 	case outcome != NotSent && !p.budget.Take(now):
 		return ReasonRetryBudget, false
 	}
--- a/internal/placement/evacuation_test.go
+++ b/internal/placement/evacuation_test.go
@@ -172,3 +172,19 @@
 		f.requireColdLimit()
 	})
 }
+
+// Guards against requests to a target that has become cold during the evacuation and that no health
+// check has reached since.
+func TestTargetOfAFormerlyEvacuatedZoneCountsAsColdUntilAHealthCheck(t *testing.T) {
+	h := coldHarness(t, 0, targetInfo("a1", "a"))
+	h.pool.SetEvacuated(h.now, []string{"a"})
+	h.pool.SetEvacuated(h.now, []string{"b"})
+	require.Equal(t, ReasonCold, h.singleAction(h.pool.Submit(h.now, h.request(true)), Refuse).Reason)
+	h.pool.RecordColdTime(h.now, h.pool.targets["a1"], 0, false)
+	require.False(t, h.isCold("a1"), "the check doesn't say that the target is cold")
+	h.pool.SetEvacuated(h.now, []string{"a"})
+	h.pool.SetEvacuated(h.now, nil)
+	h.pool.RecordColdTime(h.now, h.pool.targets["a1"], time.Second, true)
+	h.now = h.now.Add(time.Second - time.Millisecond)
+	require.True(t, h.isCold("a1"))
+}
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -100,7 +100,7 @@
 // hedge queues the request of an attempt for another target if there is one and the retry
 // budget allows it.
 func (p *Pool) hedge(now time.Time, a *Attempt) {
-	if p.hasUntriedTarget(now, a.Request, p.targetFilter(now)) && p.budget.Take(now) {
+	if p.hasUntriedTarget(now, a.Request, p.targetFilter(now)) && !p.onlyColdLeft(now, a.Request) && p.budget.Take(now) {
 		p.enqueue(a.Request)
 	}
 }
