Check targets that may be cold by an old entry

A daemon that starts can't tell how old the entries are. Had they said for hours that their targets are cold, it would have refused all requests for the cold time. Such targets, and those whose evacuation has ended, now count as cold only until a health check, for which requests wait.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -47,6 +47,8 @@
 	setAt time.Time
 	// targets holds the states of the targets by ID. It is nil without a limit.
 	targets map[string]*coldState
+	// listed is set once the pool has had a list of targets.
+	listed bool
 }
 
 // coldState is what is known of the cold times of a target. It outlives restarts of the target.
@@ -56,7 +58,8 @@
 	until time.Time
 	// learnedAt is when until was last extended.
 	learnedAt time.Time
-	// assumed is set if the cold time is not based on a sign of the target.
+	// assumed is set if the cold time is only possible: a health check tells whether the target is
+	// cold.
 	assumed bool
 	// listed is the cold time that was taken last from the target's entry.
 	listed listedCold
@@ -87,34 +90,32 @@
 		return
 	}
 	for _, t := range p.list {
-		p.trackCold(now, t)
-		if t.cold != nil && now.Before(t.slowStartUntil) {
-			p.beginCold(now, t, t.slowStartUntil.Sub(now))
+		t.cold = p.coldStateOf(now, t)
+		if t.cold == nil {
+			continue
+		}
+		t.cold.listed = t.listedCold()
+		if now.Before(t.slowStartUntil) {
+			p.assumeCold(now, t, t.slowStartUntil.Sub(now))
 		}
 	}
 }
 
 // trackCold connects a listed target with its cold state, and applies its entry.
 func (p *Pool) trackCold(now time.Time, t *Target) {
-	t.cold = nil
-	if p.cold.targets == nil {
-		return
-	}
-	state := p.cold.targets[t.ID]
-	if state == nil {
-		state = &coldState{incarnation: t.Incarnation}
-		p.cold.targets[t.ID] = state
-	}
+	state := p.coldStateOf(now, t)
 	t.cold = state
-	state.seenAt = now
-	if t.Incarnation < state.incarnation {
-		// The list is outdated.
+	if state == nil || t.Incarnation < state.incarnation {
+		// Requests to cold targets are not limited, or the list is outdated.
 		return
 	}
 	restarted := t.Incarnation > state.incarnation
 	state.incarnation = t.Incarnation
-	listed := listedCold{remaining: t.SlowStartFor, revision: t.EntryRevision}
+	listed := t.listedCold()
 	switch {
+	case t.SlowStartFor > 0 && !p.cold.listed:
+		// The entry may be as old as the target.
+		p.assumeCold(now, t, t.SlowStartFor)
 	case t.SlowStartFor > 0 && (restarted || listed != state.listed):
 		p.beginCold(now, t, t.SlowStartFor)
 	case t.SlowStartFor <= 0 && restarted:
@@ -123,6 +124,25 @@
 	state.listed = listed
 }
 
+// coldStateOf returns the cold state of a listed target, or nil without a limit.
+func (p *Pool) coldStateOf(now time.Time, t *Target) *coldState {
+	if p.cold.targets == nil {
+		return nil
+	}
+	state := p.cold.targets[t.ID]
+	if state == nil {
+		state = &coldState{incarnation: t.Incarnation}
+		p.cold.targets[t.ID] = state
+	}
+	state.seenAt = now
+	return state
+}
+
+// listedCold returns the version of the target's entry.
+func (t *Target) listedCold() listedCold {
+	return listedCold{remaining: t.SlowStartFor, revision: t.EntryRevision}
+}
+
 // forgetCold drops the states of targets that have not been listed for long.
 func (p *Pool) forgetCold(now time.Time) {
 	for id, state := range p.cold.targets {
@@ -145,10 +165,11 @@
 	state.assumed = false
 }
 
-// assumeCold treats a target as cold until a health check shows that it isn't.
-func (p *Pool) assumeCold(now time.Time, t *Target) {
+// assumeCold treats a target as cold for a time, until a health check tells whether it is. Requests
+// wait for that.
+func (p *Pool) assumeCold(now time.Time, t *Target, remaining time.Duration) {
 	if t.cold != nil && !t.cold.isCold(now) {
-		p.beginCold(now, t, p.cold.limit.Start)
+		p.beginCold(now, t, remaining)
 		t.cold.assumed = true
 	}
 }
@@ -167,25 +188,23 @@
 }
 
 // RecordColdTime handles what the response to a health check of a target says of its cold time.
-// told is set if it says anything; otherwise the target isn't known to be cold. A remaining time
-// replaces what was known before the check.
+// told is set if it says anything: the responses of cold targets do. A remaining time replaces
+// what was known before the check.
 func (p *Pool) RecordColdTime(now time.Time, t *Target, remaining time.Duration, told bool) {
 	state := t.cold
+	sentSince := state != nil && t.probing && !t.probedAt.Before(state.learnedAt)
 	switch {
 	case state == nil || t.Incarnation < state.incarnation:
 	case told && remaining > 0 && !state.isCold(now):
 		p.beginCold(now, t, remaining)
-	case told && t.probing && !t.probedAt.Before(state.learnedAt):
-		state.until = earlier(state.until, now)
-		if remaining > 0 {
-			state.until = now.Add(remaining)
-		}
+	case remaining <= 0 && state.assumed && sentSince:
+		// It has not been cold, so its load needn't rise gradually.
+		state.until, state.assumed = time.Time{}, false
+	case told && sentSince:
+		state.until = earlier(state.until, now.Add(remaining))
 		state.assumed = false
 	case told && remaining > 0:
 		p.beginCold(now, t, remaining)
-	case !told && state.assumed:
-		state.until = earlier(state.until, now)
-		state.assumed = false
 	}
 }
 
--- a/internal/placement/coldrate.go
+++ b/internal/placement/coldrate.go
@@ -73,7 +73,8 @@
 }
 
 // coldExhausted reports whether only cold targets can take a request, and their rate is used up by
-// the given number of requests ahead of it until it would be too late.
+// the given number of requests ahead of it until it would be too late. A target that is only
+// assumed to be cold may take it after a health check.
 func (p *Pool) coldExhausted(now time.Time, r *Request, filter targetFilter, ahead int) bool {
 	if p.cold.targets == nil {
 		return false
@@ -84,7 +85,8 @@
 		if !filter.allows(now, t) || r.hasTried(t) {
 			continue
 		}
-		if !t.cold.isCold(now) {
+		if !t.cold.isCold(now) || t.cold.assumed && !p.noReports {
+			// The target may take the request, now or after a health check.
 			return false
 		}
 		found = true
--- a/internal/placement/coldretry_test.go
+++ b/internal/placement/coldretry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -32,3 +33,40 @@
 	}
 	require.Zero(t, h.pool.budget.spent)
 }
+
+// Guards against a daemon that starts, finds entries which have said for hours that their targets are
+// cold, and refuses all requests.
+func TestStartingDaemonChecksTargetsWithOldEntries(t *testing.T) {
+	for _, limitFirst := range []bool{true, false} {
+		pool := newHarness(t).pool
+		pool.cold.listed = false
+		h := &harness{t: t, pool: pool, now: start}
+		if limitFirst {
+			h.setShare(0)
+		}
+		h.pool.UpdateTargets(h.now, []TargetInfo{coldInfo("a1", "a")})
+		h.setShare(0)
+		require.True(t, h.isCold("a1"))
+		probe := h.singleAction(h.pool.Submit(h.now, h.request(true)), Probe)
+		h.pool.RecordColdTime(h.now, probe.Target, 0, false)
+		h.singleAction(h.pool.ProbeAnswered(h.now, probe.Target, normalReport(0), true), Send)
+		require.Equal(t, probe.Target.concurrencyLimit(), probe.Target.requestLimit(h.now))
+
+		h.pool.UpdateTargets(h.now, []TargetInfo{coldInfo("a1", "a"), coldInfo("a2", "a")})
+		require.False(t, h.isCold("a1"))
+		require.True(t, h.isCold("a2"))
+		h.now = h.now.Add(time.Millisecond)
+		h.pool.RecordColdTime(h.now, h.pool.targets["a2"], 0, false)
+		require.True(t, h.isCold("a2"), "a target that joins is listed when it starts")
+	}
+}
+
+// Guards against a limit that takes effect while the daemon runs and takes targets for cold that
+// started long ago.
+func TestNewLimitDoesNotChillTargets(t *testing.T) {
+	h := newHarness(t, coldInfo("a1", "a"))
+	h.now = h.now.Add(time.Hour)
+	h.setShare(1)
+	h.pool.UpdateTargets(h.now, []TargetInfo{coldInfo("a1", "a")})
+	require.False(t, h.isCold("a1"))
+}
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -17,7 +17,7 @@
 		t.evacuated = p.isEvacuated(t.Zone)
 		if was && !t.evacuated {
 			t.rampFrom = now
-			p.assumeCold(now, t)
+			p.assumeCold(now, t, p.cold.limit.Start)
 		}
 	}
 	p.assignPermits()
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -138,6 +138,7 @@
 		}
 	}
 	p.targets = next
+	p.cold.listed = true
 	p.announcements.forgetUnlisted(now)
 	p.forgetCold(now)
 	p.updateProbeLimiter(now)
