--- a/internal/feed/evacuations.go
+++ b/internal/feed/evacuations.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"encoding/json"
 	"maps"
 	"slices"
 	"sync"
@@ -8,26 +9,30 @@
 	"github.com/sirupsen/logrus"
 )
 
-// DecodeEvacuation returns the availability zone that an object evacuates, or an error if it
-// evacuates none.
-type DecodeEvacuation func(object Object) (zone string, err error)
+// EvacuationError reports an object that evacuates no availability zone.
+type EvacuationError struct {
+	// Problem tells what is wrong with the object.
+	Problem string
+}
+
+// Error implements error.
+func (e *EvacuationError) Error() string { return Error.New("no evacuation: %s", e.Problem).Error() }
 
-// EvacuationMirror is a Mirror for the evacuations of availability zones. A zone is evacuated
-// until its object is deleted. It is safe for concurrent use.
+// EvacuationMirror is a Mirror for the evacuations of availability zones. An object evacuates the
+// zone that it is named after until it is deleted. It is safe for concurrent use.
 type EvacuationMirror struct {
 	log      logrus.FieldLogger
-	decode   DecodeEvacuation
+	known    []string
 	onChange func(zones []string)
 
-	mu sync.Mutex
-	// zones are the evacuated zones by the name of their object.
-	zones map[string]string
+	mu    sync.Mutex
+	zones map[string]bool
 }
 
-// NewEvacuationMirror returns a mirror without evacuations. It calls onChange with the sorted
+// NewEvacuationMirror returns a mirror without evacuations of the known zones. It calls onChange with the sorted
 // evacuated zones after the first list and after each change.
-func NewEvacuationMirror(decode DecodeEvacuation, onChange func(zones []string), log logrus.FieldLogger) *EvacuationMirror {
-	return &EvacuationMirror{log: log, decode: decode, onChange: onChange, zones: map[string]string{}}
+func NewEvacuationMirror(known []string, onChange func(zones []string), log logrus.FieldLogger) *EvacuationMirror {
+	return &EvacuationMirror{log: log, known: known, onChange: onChange, zones: map[string]bool{}}
 }
 
 // Reset implements Mirror. Evacuations aren't registrations that lapse, so a list is taken as it is,
@@ -36,10 +41,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	previous := m.zones
-	m.zones = make(map[string]string, len(objects))
+	m.zones = make(map[string]bool, len(objects))
 	for _, object := range objects {
-		if zone, ok := previous[object.Name]; ok {
-			m.zones[object.Name] = zone
+		if previous[object.Name] {
+			m.zones[object.Name] = true
 		}
 		m.put(object)
 	}
@@ -60,16 +65,28 @@
 	m.publish()
 }
 
-// put adds the evacuation of an object. An object that can't be decoded has no effect: it
-// begins no evacuation and ends none.
+// put adds the evacuation of an object. An unreadable object has no effect: it begins no
+// evacuation and ends none.
 func (m *EvacuationMirror) put(object Object) {
-	zone, err := m.decode(object)
-	if err != nil {
+	if err := m.check(object); err != nil {
 		m.log.WithError(err).WithField("object", object.Name).Warn("evacuation can't be decoded; it has no effect")
 		return
 	}
-	m.zones[object.Name] = zone
+	m.zones[object.Name] = true
+}
+
+// check returns an *EvacuationError if an object evacuates no known zone. The content of its spec
+// doesn't matter, but it has to be a JSON object.
+func (m *EvacuationMirror) check(object Object) error {
+	if !slices.Contains(m.known, object.Name) {
+		return &EvacuationError{Problem: "the deployment has no such zone"}
+	}
+	var spec map[string]json.RawMessage
+	if err := json.Unmarshal(object.Spec, &spec); err != nil {
+		return &EvacuationError{Problem: err.Error()}
+	}
+	return nil
 }
 
 // publish hands on the evacuated zones. The lock is held.
-func (m *EvacuationMirror) publish() { m.onChange(slices.Sorted(maps.Values(m.zones))) }
+func (m *EvacuationMirror) publish() { m.onChange(slices.Sorted(maps.Keys(m.zones))) }
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
@@ -42,6 +44,20 @@
 	}
 }
 
+// coldTargets returns the number of targets to which requests are limited because they are cold.
+func (s *service) coldTargets(now time.Time) int {
+	if s.coldRate <= 0 {
+		return 0
+	}
+	count := 0
+	for _, target := range s.pool.Targets() {
+		if target.Cold(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // recordRefused counts a refused request.
 func (c *Counts) recordRefused(reason placement.Reason) {
 	c.Refused++
@@ -59,3 +75,10 @@
 		l.ofTarget(now, s, target).WithField("cold_ms", remaining.Milliseconds()).Info("target is cold")
 	}
 }
+
+// moreCold logs that targets of a service are cold by a list.
+func (l *eventLog) moreCold(s *service, before, after int) {
+	if after > before && l.allow() {
+		l.log.WithFields(logrus.Fields{"service": s.name, "cold": after, "before": before}).Info("targets are cold")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -205,7 +205,9 @@
 			g.service(name)
 		}
 		for name, s := range g.services {
+			before := s.coldTargets(now)
 			g.perform(s, s.pool.UpdateTargets(now, listed[name]))
+			g.log.moreCold(s, before, s.coldTargets(now))
 		}
 		g.forgetServices(listed)
 	})
--- a/internal/gatewayd/evacuations.go
+++ b/internal/gatewayd/evacuations.go
@@ -6,9 +6,9 @@
 )
 
 // relayedKinds returns the kinds of objects that daemons pass on to one another.
-func relayedKinds(feeds Feeds) []relay.Kind {
+func (d *Daemon) relayedKinds(feeds Feeds) []relay.Kind {
 	kinds := []relay.Kind{{Name: feeds.ConfigKind}, {Name: feeds.TargetsKind, PreferPeers: true}}
-	if feeds.EvacuationsKind != "" {
+	if d.settings.EvacuateTime > 0 {
 		kinds = append(kinds, relay.Kind{Name: feeds.EvacuationsKind, PreferPeers: true, Current: true})
 	}
 	return kinds
@@ -16,12 +16,13 @@
 
 // followEvacuations starts to pass the evacuated zones to the gateway, if they are watched.
 func (d *Daemon) followEvacuations(store *relay.Store, feeds Feeds) {
-	if feeds.EvacuationsKind == "" {
+	if d.settings.EvacuateTime <= 0 {
 		d.hasEvacuations.Store(true)
 		d.updateReadiness()
 		return
 	}
-	mirror := feed.NewEvacuationMirror(feeds.DecodeEvacuation, d.setEvacuated, d.log)
+	zones := append([]string{d.settings.Zone}, d.settings.Zones...)
+	mirror := feed.NewEvacuationMirror(zones, d.setEvacuated, d.log)
 	go feed.NewFollower(store, d.monitor, feeds.EvacuationsKind, mirror, d.log).Run()
 }
 
--- a/internal/gatewayd/feeds.go
+++ b/internal/gatewayd/feeds.go
@@ -21,7 +21,7 @@
 	store := relay.New(relay.Options{
 		Store:            feeds.Store,
 		Caller:           client,
-		Kinds:            relayedKinds(feeds),
+		Kinds:            d.relayedKinds(feeds),
 		Sources:          d.node.Sources,
 		ReadsDirectly:    d.node.Active,
 		IsReader:         d.isReader,
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -47,6 +47,9 @@
 	ProbeRate float64
 	// ColdSlack is the number of requests beyond its rate that a cold target bears.
 	ColdSlack float64
+	// EvacuateTime is the time within which the evacuation of an availability zone has to take
+	// effect. 0 means that zones are not evacuated.
+	EvacuateTime time.Duration
 }
 
 // Feeds are the objects in the platform's store that a daemon watches.
@@ -61,11 +64,9 @@
 	TargetsKind string
 	// DecodeTarget decodes an object that describes a target.
 	DecodeTarget feed.DecodeTarget
-	// EvacuationsKind is the kind of the objects by which availability zones are evacuated, or
-	// empty if they are not watched.
+	// EvacuationsKind is the kind of the objects that evacuate the availability zones which they
+	// are named after. It is watched only if Settings.EvacuateTime is set.
 	EvacuationsKind string
-	// DecodeEvacuation returns the zone that an object evacuates.
-	DecodeEvacuation feed.DecodeEvacuation
 }
 
 // Platform is the environment in which a daemon runs. It is safe for concurrent use.
