--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	Retries float64
 	// Probes is the share of the probe rate. 0 means that probes are unlimited.
 	Probes float64
+	// Cold is the share of the rate at which a cold target may get requests.
+	Cold float64
 	// Places is the part of the permits for targets that don't report their load.
 	Places placement.Partition
 }
@@ -99,6 +101,8 @@
 	// drain is nil until the daemon starts to drain.
 	drain  *drain
 	shares Shares
+	// evacuated are the availability zones whose targets get no requests.
+	evacuated []string
 }
 
 // service is a service with the pool that places its requests.
@@ -106,6 +110,9 @@
 	name       string
 	healthPath string
 	pool       *placement.Pool
+	// coldStart and coldRate are those of the configuration; no cold rate means no limit.
+	coldStart time.Duration
+	coldRate  float64
 	// expiry calls the pool's Tick when it is due.
 	expiry *timer
 }
@@ -186,7 +193,7 @@
 		g.table = table
 		setLimits(table.Limits())
 		for _, configured := range table.Services() {
-			g.service(configured.Name).healthPath = configured.HealthPath
+			g.configureService(configured)
 		}
 		g.revision.Store(table.Revision())
 		g.log.configured(table)
@@ -201,7 +208,9 @@
 			g.service(name)
 		}
 		for name, s := range g.services {
+			before := s.coldTargets(now)
 			g.perform(s, s.pool.UpdateTargets(now, listed[name]))
+			g.log.moreCold(s, before, s.coldTargets(now))
 		}
 		g.forgetServices(listed)
 	})
@@ -224,10 +233,12 @@
 // SetShares sets this daemon's shares of the common budgets.
 func (g *Gateway) SetShares(shares Shares) {
 	g.runOnLoop(func() {
-		if g.shares == shares {
+		changed := g.shares != shares
+		g.shares = shares
+		g.renewColdLimits(time.Now())
+		if !changed {
 			return
 		}
-		g.shares = shares
 		for _, s := range g.services {
 			g.applyShares(s.pool)
 		}
@@ -253,6 +264,7 @@
 	s.pool.SetHedgeRatio(g.options.HedgeRatio)
 	s.expiry = newTimer(func(now time.Time) { g.perform(s, s.pool.Tick(now)) })
 	g.applyShares(s.pool)
+	s.pool.SetEvacuated(time.Now(), g.evacuated)
 	g.services[name] = s
 	return s
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -22,6 +22,8 @@
 	// ResponseBytes is the size of the incomplete responses of targets.
 	ResponseBytes int64          `json:"response_bytes"`
 	Services      []ServiceState `json:"services"`
+	// Evacuated are the availability zones whose targets get no requests.
+	Evacuated []string `json:"evacuated,omitempty"`
 }
 
 // ServiceState is a snapshot of a service's pool.
@@ -70,6 +72,7 @@
 		state.Routes = len(g.table.Routes())
 		state.Workspaces = workspaceStates(g.table.Workspaces())
 	}
+	state.Evacuated = g.evacuated
 	for name, s := range g.services {
 		service := ServiceState{Name: name, Queued: s.pool.Queued(), Hedges: copyOf(s.pool.HedgeCounts())}
 		for _, t := range s.pool.Targets() {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -78,6 +78,8 @@
 	quarantine *quarantine.Coordinator
 	// retryShare is accessed only by updateShares.
 	retryShare retryShare
+	// coldShare is accessed only by updateShares.
+	coldShare coldShare
 
 	// rejectedConfigs counts the configurations that were invalid.
 	rejectedConfigs atomic.Uint64
@@ -86,6 +88,8 @@
 
 	hasConfig  atomic.Bool
 	hasTargets atomic.Bool
+	// hasEvacuations is set once the evacuated zones are known, or if they are not watched.
+	hasEvacuations atomic.Bool
 	// askedPeers is set once other daemons were asked for a newer configuration than the
 	// platform's, whether they have answered or not.
 	askedPeers atomic.Bool
@@ -118,6 +122,7 @@
 func (d *Daemon) Run(signals <-chan os.Signal) error {
 	d.started = time.Now()
 	d.retryShare.startedAt = d.started
+	d.coldShare = newColdShare(d.settings.ColdSlack, len(d.settings.Zones))
 	self := heartbeat.Member{
 		Name:          d.settings.Name,
 		Zone:          d.settings.Zone,
@@ -216,10 +221,10 @@
 	}
 }
 
-// updateReadiness announces to other daemons that this one is ready, once it has both a
-// configuration and targets and has asked other daemons for a newer configuration.
+// updateReadiness announces to other daemons that this one is ready, once it has a
+// configuration and targets, knows the evacuated zones and has asked other daemons for a newer configuration.
 func (d *Daemon) updateReadiness() {
-	if d.stopping.Load() || !d.hasConfig.Load() || !d.hasTargets.Load() || !d.askedPeers.Load() {
+	if d.stopping.Load() || !d.hasConfig.Load() || !d.hasTargets.Load() || !d.hasEvacuations.Load() || !d.askedPeers.Load() {
 		return
 	}
 	if !d.serving.Swap(true) {
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -48,6 +48,11 @@
 	// HedgeRatio is the maximum number of hedges for each request of a service. 0 means that
 	// only the retry budget limits them.
 	HedgeRatio float64
+	// ColdSlack is the number of requests beyond its rate that a cold target bears.
+	ColdSlack float64
+	// EvacuateTime is the time within which the evacuation of an availability zone has to take
+	// effect. 0 means that zones are not evacuated.
+	EvacuateTime time.Duration
 }
 
 // Feeds are the objects in the platform's store that a daemon watches.
@@ -62,6 +67,9 @@
 	TargetsKind string
 	// DecodeTarget decodes an object that describes a target.
 	DecodeTarget feed.DecodeTarget
+	// EvacuationsKind is the kind of the objects that evacuate the availability zones which they
+	// are named after. It is watched only if Settings.EvacuateTime is set.
+	EvacuationsKind string
 }
 
 // Platform is the environment in which a daemon runs. It is safe for concurrent use.
--- a/internal/placement/hedger.go
+++ b/internal/placement/hedger.go
@@ -197,7 +197,7 @@
 		if !filter.allows(now, t) {
 			continue
 		}
-		limit := t.requestLimit()
+		limit := t.requestLimit(now)
 		if t.noReports {
 			limit = t.permits
 		}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -60,11 +60,14 @@
 	list      []*Target
 	// announcements outlives the targets' entries in the list.
 	announcements announcements
-	group         outlier.Group
-	queue         []*Request
-	fair          fairShares
-	actions       []Action
-	sendRate      sendRate
+	cold          coldLimiter
+	// evacuated are the availability zones whose targets get no requests.
+	evacuated []string
+	group     outlier.Group
+	queue     []*Request
+	fair      fairShares
+	actions   []Action
+	sendRate  sendRate
 	// monitored holds the attempts that are checked for slowness while they run.
 	monitored []*Attempt
 	// probeLimiter limits the probes to probeRate a second and target; nil means no
@@ -127,6 +130,8 @@
 		}
 		t.TargetInfo = info
 		t.noReports = p.noReports
+		t.evacuated = p.isEvacuated(t.Zone)
+		p.trackCold(now, t)
 		next[info.ID] = t
 		p.list = append(p.list, t)
 	}
@@ -137,7 +142,9 @@
 		}
 	}
 	p.targets = next
+	p.cold.listed = true
 	p.announcements.forgetUnlisted(now)
+	p.forgetCold(now)
 	p.updateProbeLimiter(now)
 	p.rebuildGroup()
 	p.assignPermits()
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -198,7 +198,11 @@
 	ReasonNoTarget Reason = "no_target"
 	ReasonOverload Reason = "overload"
 	// ReasonPaused means that all targets that are not leaving have asked for a pause.
-	ReasonPaused       Reason = "paused"
+	ReasonPaused Reason = "paused"
+	// ReasonEvacuated means that the zones of all targets are evacuated.
+	ReasonEvacuated Reason = "evacuated"
+	// ReasonCold means that all targets are cold and can't take the request in time.
+	ReasonCold         Reason = "cold"
 	ReasonTimeout      Reason = "timeout"
 	ReasonTargetLost   Reason = "target_lost"
 	ReasonRetryBudget  Reason = "retry_budget"
