--- a/internal/monotonic/instant_test.go
+++ b/internal/monotonic/instant_test.go
@@ -31,3 +31,12 @@
 	_, ok = instant.Elapsed(time.Now())
 	require.False(t, ok)
 }
+
+// Guards against a clock that stands still or counts in another unit.
+func TestSinceBootAdvancesWithTime(t *testing.T) {
+	before, began := monotonic.SinceBoot(), time.Now()
+	time.Sleep(20 * time.Millisecond)
+	passed := monotonic.SinceBoot() - before
+	require.GreaterOrEqual(t, passed, 20*time.Millisecond)
+	require.LessOrEqual(t, passed, time.Since(began)+time.Millisecond)
+}
