Enforce quotas of workspaces in the gateway daemon

If the settings have the bound quotaWindowS, the gateway asks the quotas before it places a request of a workspace with a quota. A call that ends before it was sent gives back its permit. Without the bound no goroutine, timer or message is added.

The field call.workspace is set by the authentication, which is not part of this change; until then no request is subject to a quota.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -42,6 +42,9 @@
 	lastSent *targetclient.Attempt
 	// claim is that of the call's content, if it is suspected of crashing targets.
 	claim quarantine.Holder
+	// workspace is the one whose key the request carries, or nil.
+	workspace *route.Workspace
+	quota     quotaState
 }
 
 // findRoute returns the route of a request, or nil if there is none.
@@ -88,13 +91,18 @@
 	}
 	g.timers.set(c.timeout, c.placed.Deadline)
 	exchange.WatchCaller(c)
-	switch {
-	case c.done:
-	case standing == quarantine.Suspected:
-		c.awaitClaim()
-	default:
+	if !c.done {
+		c.begin(standing)
+	}
+}
+
+// place submits the call, after a claim if its content is suspected.
+func (c *call) place(standing quarantine.Standing) {
+	if standing == quarantine.Unsuspected {
 		c.submit()
+		return
 	}
+	c.awaitClaim()
 }
 
 // submit passes the call to the pool of its service.
@@ -161,6 +169,7 @@
 func (c *call) finish() {
 	c.done = true
 	c.gateway.timers.stop(c.timeout)
+	c.endQuota()
 	c.releaseClaim()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -86,6 +86,8 @@
 	routed atomic.Uint64
 	// quarantine is nil if requests that crash targets are not detected.
 	quarantine *quarantine.Coordinator
+	// quotas is nil if no quota of a workspace is enforced.
+	quotas Quotas
 
 	// The fields below are accessed only on the event loop.
 	table    *route.Table
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -15,6 +15,8 @@
 	reasonNotReady = "not_ready"
 	reasonNoRoute  = "no_route"
 	reasonDraining = "leaving"
+	// reasonOverQuota means that the workspace has used up its quota.
+	reasonOverQuota = "over_quota"
 )
 
 const (
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -76,6 +76,8 @@
 	closers []io.Closer
 	// quarantine detects requests that crash targets.
 	quarantine *quarantine.Coordinator
+	// quotas is nil if no quota is enforced.
+	quotas *quotas
 	// retryShare is accessed only by updateShares.
 	retryShare retryShare
 
--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -26,6 +26,9 @@
 	end := began.Add(d.settings.TerminationGrace - exitMargin)
 	d.gateway.BeginDrain(began.Add(acceptAllFor), end)
 	d.server.Drain()
+	if d.quotas != nil {
+		d.quotas.resign()
+	}
 	d.log.WithField("in_flight", d.server.InFlight()).Info("leaving")
 	go d.deregister()
 	d.awaitIdle(began.Add(directoryCacheTime+exitMargin), end)
--- a/internal/gatewayd/feeds.go
+++ b/internal/gatewayd/feeds.go
@@ -62,6 +62,7 @@
 	store.Register(server)
 	server.Register(peer.MethodNewestConfig, d.configPeers.serve)
 	d.startQuarantine(client, server)
+	d.startQuotas(client, server)
 	go func() {
 		if err := server.Serve(listener); !d.stopping.Load() {
 			d.log.WithError(err).Error("peer server failed")
--- a/internal/gatewayd/metrics.go
+++ b/internal/gatewayd/metrics.go
@@ -46,6 +46,7 @@
 		rejectionsDesc, rejectedConfigsDesc, revisionDesc,
 		platformUnavailableDesc, storeEpochDesc, feedAgeDesc, advertisedDesc,
 		suspectsDesc, violationsDesc,
+		quotaRequestsDesc, quotaPermitsDesc, quotaMessagesDesc, quotaOwnerDesc,
 	} {
 		descriptions <- d
 	}
@@ -92,6 +93,7 @@
 		gauge(feedAgeDesc, (time.Duration(report.AgeMillis) * time.Millisecond).Seconds(), report.Kind)
 	}
 	c.collectSuspects(gauge)
+	c.collectQuotas(counter, gauge)
 	for name, violations := range invariant.Breaches() {
 		counter(violationsDesc, violations, string(name))
 	}
--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -74,5 +74,8 @@
 		return err
 	}
 	d.node.Learn(members)
+	if d.quotas != nil {
+		d.quotas.members.add(time.Now(), members, true)
+	}
 	return nil
 }
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -45,6 +45,12 @@
 	// ProbeRate is the maximum number of probes per second to each target by all daemons
 	// together. 0 means unlimited.
 	ProbeRate float64
+	// QuotaWindow, QuotaOverage and QuotaSlack define how far workspaces may exceed their quotas:
+	// all daemons together run at most (rate x QuotaWindow + burst) x (1 + QuotaOverage) +
+	// QuotaSlack requests in every window. If QuotaWindow is 0, no quota is enforced.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 }
 
 // Feeds are the objects in the platform's store that a daemon watches.
