--- a/internal/gatewayd/quotamembers.go
+++ b/internal/gatewayd/quotamembers.go
@@ -70,17 +70,24 @@
 	return slices.Compact(addresses), m.complete
 }
 
-// followQuotaMembers keeps the daemons that vote up to date until the daemon stops.
+// learnQuotaMembers adds the registered daemons to those that vote.
+func (d *Daemon) learnQuotaMembers(registered []heartbeat.Member) {
+	if d.quotas != nil {
+		d.quotas.learn(registered, true)
+	}
+}
+
+// followQuotaMembers adds the daemons of the own zone to those that vote until the daemon stops.
 func (d *Daemon) followQuotaMembers() {
-	var last []string
-	var lastComplete bool
 	for !d.stopping.Load() {
-		d.quotas.members.add(time.Now(), d.node.Members(), false)
-		addresses, complete := d.quotas.members.addresses()
-		if !slices.Equal(addresses, last) || complete != lastComplete {
-			last, lastComplete = addresses, complete
-			d.quotas.update(func(time.Duration) { d.quotas.node.SetMembers(addresses, complete) })
-		}
+		d.quotas.learn(d.node.Members(), false)
 		time.Sleep(quotaMembersInterval)
 	}
 }
+
+// learn adds daemons and passes the known ones to the state machine.
+func (q *quotas) learn(members []heartbeat.Member, listed bool) {
+	q.members.add(time.Now(), members, listed)
+	addresses, complete := q.members.addresses()
+	q.update(func(time.Duration) { q.node.SetMembers(addresses, complete) })
+}
--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -54,6 +54,7 @@
 	for failures := 0; failures < maxListFailures && !d.stopping.Load(); {
 		members, err := d.platform.RegisteredDaemons(true)
 		if err == nil {
+			d.learnQuotaMembers(members)
 			d.configPeers.askAll(members)
 			break
 		}
@@ -74,8 +75,6 @@
 		return err
 	}
 	d.node.Learn(members)
-	if d.quotas != nil {
-		d.quotas.members.add(time.Now(), members, true)
-	}
+	d.learnQuotaMembers(members)
 	return nil
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -9,9 +9,9 @@
 // Waiter is a request that waits for a permit.
 type Waiter struct {
 	// Payload identifies the request for the caller of Admit.
-	Payload  any
-	account  *account
-	deadline time.Duration
+	Payload any
+	account *account
+	arrived time.Duration
 }
 
 // batch is a number of permits that expire together.
@@ -76,6 +76,9 @@
 		return 0
 	}
 	target := int(a.demand.rate(now) * stockTime.Seconds())
+	if target < minStock {
+		target = 0
+	}
 	stock := a.inStock(now)
 	if len(a.waiters) == 0 && 2*stock >= target {
 		return 0
--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -35,7 +35,7 @@
 	var ask Ask
 	sent := sentAsk{sentAt: now}
 	for _, a := range n.asker.accounts {
-		if count := a.wanted(now); count > 0 {
+		if count := a.wanted(now); count > 0 && len(ask.Items) < maxAskItems {
 			ask.Items = append(ask.Items, AskItem{Workspace: a.workspace, Count: count, Rate: a.limit.Rate, Burst: a.limit.Burst, Revision: a.limit.Revision})
 			sent.accounts = append(sent.accounts, a)
 			sent.counts = append(sent.counts, count)
@@ -131,15 +131,14 @@
 	n.askIfNeeded(now)
 }
 
-// expireAsks suspects a daemon that doesn't answer and forgets questions whose permits would have
-// expired.
+// expireAsks suspects a daemon that doesn't answer and forgets old questions.
 func (n *Node) expireAsks(now time.Duration) {
 	for id, sent := range n.asker.asks {
 		if id == n.asker.pending && now >= sent.sentAt+askTimeout {
 			n.asker.pending = 0
 			n.asker.locator.suspect(now, sent.to)
 		}
-		if now >= sent.sentAt+max(askTimeout, n.options.Bound.lifetime()) {
+		if now >= sent.sentAt+rememberAsk {
 			delete(n.asker.asks, id)
 		}
 	}
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -14,8 +14,8 @@
 	waiting map[*account]struct{}
 	locator locator
 	pace    pace
-	// asks are the questions without a reply whose permits would still be valid, pending the ID
-	// of the one that is waited for, or 0.
+	// asks are the last questions without a reply, pending is the ID of the one that is waited
+	// for, or 0.
 	asks    map[uint64]sentAsk
 	pending uint64
 	lastID  uint64
@@ -64,7 +64,7 @@
 	if now < a.deniedUntil && len(a.waiters) >= a.maxWaiters() {
 		return n.reject(), nil
 	}
-	w := &Waiter{Payload: payload, account: a, deadline: now + n.patience()}
+	w := &Waiter{Payload: payload, account: a, arrived: now}
 	a.waiters = append(a.waiters, w)
 	n.asker.waiting[a] = struct{}{}
 	n.askIfNeeded(now)
@@ -72,13 +72,24 @@
 }
 
 // patience returns how long a request waits for a permit.
-func (n *Node) patience() time.Duration {
-	if n.asker.detached {
+func (n *Node) patience(now time.Duration) time.Duration {
+	switch {
+	case now-n.asker.startedAt < startupPeriod:
+		return startupWait
+	case n.asker.detached:
 		return detachedWait
+	case n.ownerIsSilent(now):
+		return ownerlessWait
 	}
 	return maxWait
 }
 
+// ownerIsSilent reports whether a question was not answered by an owner in time.
+func (n *Node) ownerIsSilent(now time.Duration) bool {
+	since := n.asker.unansweredSince
+	return since != 0 && now-since >= askTimeout
+}
+
 func (n *Node) account(workspace string, limit Limit) *account {
 	a := n.asker.accounts[workspace]
 	if a == nil {
@@ -134,7 +145,7 @@
 func (n *Node) tickAsker(now time.Duration) {
 	n.expireAsks(now)
 	for a := range n.asker.waiting {
-		for len(a.waiters) > 0 && now >= a.waiters[0].deadline {
+		for len(a.waiters) > 0 && now >= a.waiters[0].arrived+n.patience(now) {
 			n.decide(a.waiters[0], n.withoutPermit(now, a))
 			a.waiters = slices.Delete(a.waiters, 0, 1)
 		}
@@ -155,8 +166,7 @@
 // withoutPermit decides on a request that has got no permit in time. Without an owner the
 // fallback may admit it.
 func (n *Node) withoutPermit(now time.Duration, a *account) Verdict {
-	since := n.asker.unansweredSince
-	if since == 0 || now-since < askTimeout || now-n.asker.startedAt < n.options.Bound.Window {
+	if !n.ownerIsSilent(now) || now-n.asker.startedAt < n.options.Bound.Window {
 		return n.reject()
 	}
 	if !a.takeFallback(now, n.options.Bound.Window, n.fallbackShare(a)) {
@@ -182,7 +192,7 @@
 		if len(a.waiters) == 0 {
 			continue
 		}
-		consider(a.waiters[0].deadline)
+		consider(a.waiters[0].arrived + n.patience(now))
 		if n.asker.pending == 0 {
 			consider(max(a.deniedUntil, n.earliestAsk(now)))
 		}
--- a/internal/quota/election.go
+++ b/internal/quota/election.go
@@ -156,7 +156,10 @@
 // fail closes a failed round and chooses the time of the next one.
 func (e *election) fail(now time.Duration) {
 	e.round.open = false
-	pause := min(max(e.round.left, minBackoff), maxBackoff)
+	pause := max(e.round.left, minBackoff)
+	if pause > maxLeft {
+		pause = maxBackoff
+	}
 	e.nextRound = now + pause + time.Duration(e.random()*float64(backoffSpread))
 }
 
--- a/internal/quota/voter_test.go
+++ b/internal/quota/voter_test.go
@@ -34,6 +34,18 @@
 	require.Equal(t, VoteReply{Granted: true, FreeMillis: 1000, Known: otherDaemons}, granted)
 }
 
+// Guards against a lease that lasts longer than the votes for it, because their replies were late.
+func TestLeaseIsCountedFromTheRequestForVotes(t *testing.T) {
+	n := NewNode(time.Hour, Options{Self: "a", Bound: testBound, Random: func() float64 { return 0 }})
+	n.SetMembers([]string{"a", "b", "c"}, true)
+	asked := time.Hour + time.Minute
+	n.HandleAsk(asked, Ask{})
+	replied := asked + roundTimeout/2
+	n.VoteReplied(replied, n.election.number, "b", VoteReply{Granted: true})
+	require.True(t, n.IsOwner(replied))
+	require.False(t, n.IsOwner(asked+leaseDuration))
+}
+
 // Guards against a release that arrives late and ends a vote that was renewed since.
 func TestLateReleaseDoesNotEndLaterVote(t *testing.T) {
 	start := time.Hour
