Veto of voters that are bound to another owner of the quotas

While daemons are added, the old ones don't know them, so that two owners could each have a majority of the daemons that they know. A refusal that names another holder now ends a round, and a candidate with enough votes waits for such refusals, 30 ms at most.

The frozen owner's test waits for settleTime now, since its candidate has one reply of two.

--- a/internal/quota/bound_test.go
+++ b/internal/quota/bound_test.go
@@ -160,6 +160,25 @@
 	})
 }
 
+// Guards against a second owner while daemons are added: the old ones don't know them yet, and a
+// majority of the old ones is none of all.
+func TestBoundWhileDaemonsAreAdded(t *testing.T) {
+	checkBoundUnder(t, func(t *rapid.T, n *network) {
+		old := rapid.IntRange(0, len(n.vms)).Draw(t, "old")
+		var addresses []string
+		for _, v := range n.vms[:old] {
+			addresses = append(addresses, v.address)
+		}
+		for _, v := range n.vms[:old] {
+			v.node.SetMembers(addresses, true)
+		}
+		for _, v := range n.vms[old:] {
+			v.dead = true
+			n.at(time.Duration(n.rng.Int64N(int64(boundTestLength))), v.start)
+		}
+	})
+}
+
 // Guards against a lower quota that doesn't take effect one window after the daemons know it.
 func TestBoundOfLowerQuota(t *testing.T) {
 	const loweredAt = 8 * time.Second
--- a/internal/quota/election.go
+++ b/internal/quota/election.go
@@ -43,6 +43,9 @@
 	asked   []string
 	granted []string
 	refused int
+	// vetoed is set if a voter has named another daemon that holds its vote. That daemon may be
+	// the owner by a majority of fewer daemons, if it doesn't know all of them yet.
+	vetoed bool
 	// electorate is the largest number of daemons that this one or a voter knows.
 	electorate int
 	// freeSince is a time from which certainly no other lease was valid.
@@ -96,6 +99,7 @@
 	r.electorate = max(r.electorate, reply.Known)
 	if !reply.Granted {
 		r.refused++
+		r.vetoed = r.vetoed || reply.Holder != ""
 		if left := time.Duration(reply.LeftMillis) * time.Millisecond; left > r.left {
 			r.left = left
 			e.holder = reply.Holder
@@ -107,12 +111,25 @@
 	}
 	r.granted = append(r.granted, from)
 	r.freeSince = max(r.freeSince, now-time.Duration(reply.FreeMillis)*time.Millisecond)
-	if !r.succeeded() {
+	return e.conclude(now)
+}
+
+// conclude ends a round that has succeeded. A new owner waits for all replies, or settleTime, for a
+// veto. It returns true if this daemon has become the owner by it.
+func (e *election) conclude(now time.Duration) bool {
+	r := &e.round
+	if !r.open || !r.succeeded() {
+		return false
+	}
+	if e.lease == nil && (r.vetoed || !r.everyoneReplied() && now < r.started+settleTime) {
 		return false
 	}
 	return e.succeed(now)
 }
 
+// everyoneReplied reports whether no reply is missing.
+func (r *round) everyoneReplied() bool { return len(r.granted)+r.refused >= len(r.asked) }
+
 // succeeded reports whether more than half of the daemons have granted their votes.
 func (r *round) succeeded() bool { return 2*len(r.granted) > r.electorate }
 
@@ -149,8 +166,7 @@
 	if !e.round.open || e.lease != nil {
 		return false
 	}
-	everyoneReplied := len(e.round.granted)+e.round.refused >= len(e.round.asked)
-	return everyoneReplied || now >= e.round.started+roundTimeout
+	return e.round.vetoed || e.round.everyoneReplied() || now >= e.round.started+roundTimeout
 }
 
 // fail closes a failed round and chooses the time of the next one.
--- a/internal/quota/freeze_test.go
+++ b/internal/quota/freeze_test.go
@@ -68,6 +68,7 @@
 	now += time.Minute
 	require.False(t, n.HandleAsk(now, ask).Owner)
 	n.VoteReplied(now, n.election.number, "b", VoteReply{Granted: true, FreeMillis: freeze.Milliseconds()})
+	now += settleTime
 	require.Equal(t, []int{1}, n.HandleAsk(now, ask).Granted)
 	now += renewInterval
 	n.Tick(now)
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -56,11 +56,15 @@
 
 func (n *Node) countVote(now time.Duration, number uint64, from string, reply VoteReply) {
 	if n.election.count(now, number, from, reply) {
-		n.emit(BecameOwner)
-		n.election.holder = ""
+		n.becameOwner()
 	}
 }
 
+func (n *Node) becameOwner() {
+	n.emit(BecameOwner)
+	n.election.holder = ""
+}
+
 // runElection starts a round of votes if permits are wanted, nobody else is known to be the owner
 // and no round is under way.
 func (n *Node) runElection(now time.Duration) {
@@ -111,6 +115,9 @@
 	if n.election.expire(now) {
 		n.emit(LostOwnership)
 	}
+	if n.election.lease == nil && n.election.conclude(now) {
+		n.becameOwner()
+	}
 	n.endFailedRound(now)
 	if n.election.lease != nil && !n.election.wantedWithin(now, ownerIdle) {
 		n.giveUpLease(now)
@@ -140,6 +147,8 @@
 	switch {
 	case e.lease != nil:
 		return min(e.nextRound, e.lease.until), true
+	case e.round.open && e.round.succeeded():
+		return e.round.started + settleTime, true
 	case e.round.open:
 		return e.round.started + roundTimeout, true
 	case n.mayLead && !n.resigned && e.wantedWithin(now, candidateFor):
--- a/internal/quota/parameters.go
+++ b/internal/quota/parameters.go
@@ -14,6 +14,9 @@
 	renewInterval = 350 * time.Millisecond
 	// roundTimeout is how long a candidate waits for votes, connections to open included.
 	roundTimeout = 250 * time.Millisecond
+	// settleTime is how long a candidate with enough votes waits for a veto. It is several times
+	// the time of a message and its reply between zones.
+	settleTime = 30 * time.Millisecond
 	// minBackoff is the shortest pause after a failed election, spread by up to backoffSpread, so
 	// that candidates that split the votes don't split them again. The pause lasts until the votes
 	// for another daemon end, if that is at most maxLeft. Votes that end later may be those for a
