--- a/internal/quota/fallback_test.go
+++ b/internal/quota/fallback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -67,3 +68,20 @@
 	require.False(t, admitted(testBound.Window-3*time.Second))
 	require.True(t, admitted(testBound.Window))
 }
+
+// Guards against rejected callers that return at one moment.
+func TestRetryAfterIsSpread(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	n := NewNode(time.Hour, Options{Self: "a", Bound: testBound, Random: rng.Float64})
+	const callers, intervals = 1000, 10
+	var returns [intervals]int
+	for range callers {
+		after := n.reject().RetryAfter
+		require.GreaterOrEqual(t, after, minRetryAfter)
+		require.Less(t, after, maxRetryAfter)
+		returns[int64(after-minRetryAfter)*intervals/int64(maxRetryAfter-minRetryAfter)]++
+	}
+	for _, count := range returns {
+		require.InDelta(t, callers/intervals, count, callers/intervals/2)
+	}
+}
