Let requests wait on while the buckets of a new owner fill

The bucket of a new owner starts with 1.6 permits, so that the requests which had waited for the owner were rejected as if they were above the quota. For a second after an owner was silent, as many may wait as the rate allows in 0.6 s.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -86,12 +86,6 @@
 	return max(len(a.waiters)+target-stock, 0)
 }
 
-// maxWaiters is the number of requests that may keep waiting while the owner's bucket is empty:
-// those that its refill in a short time allows.
-func (a *account) maxWaiters() int {
-	return max(int(a.limit.Rate*deniedPause.Seconds()), 1)
-}
-
 // remove removes a waiter. It returns false if it doesn't wait anymore.
 func (a *account) remove(w *Waiter) bool {
 	i := slices.Index(a.waiters, w)
--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -75,6 +75,9 @@
 		n.redirected(now, sent, reply)
 		return
 	}
+	if n.ownerIsSilent(now) {
+		n.asker.recoveringUntil = now + recoveryPeriod
+	}
 	n.asker.unansweredSince = 0
 	n.asker.notBefore = 0
 	n.asker.locator.found(sent.to)
@@ -98,7 +101,7 @@
 		return
 	}
 	a.deniedUntil = now + deniedPause
-	for len(a.waiters) > a.maxWaiters() {
+	for len(a.waiters) > n.maxWaiters(now, a) {
 		last := len(a.waiters) - 1
 		n.decide(a.waiters[last], n.reject())
 		a.waiters = slices.Delete(a.waiters, last, last+1)
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -25,6 +25,8 @@
 	// the last one was answered.
 	unansweredSince time.Duration
 	detached        bool
+	// recoveringUntil is when requests wait as usual again after an owner was silent.
+	recoveringUntil time.Duration
 	// nextSweep is when unused accounts are forgotten.
 	nextSweep time.Duration
 }
@@ -61,7 +63,7 @@
 		}
 		return Verdict{Outcome: Admitted, Permit: permit}, nil
 	}
-	if now < a.deniedUntil && len(a.waiters) >= a.maxWaiters() {
+	if now < a.deniedUntil && len(a.waiters) >= n.maxWaiters(now, a) {
 		return n.reject(), nil
 	}
 	w := &Waiter{Payload: payload, account: a, arrived: now}
@@ -78,12 +80,23 @@
 		return startupWait
 	case n.asker.detached:
 		return detachedWait
-	case n.ownerIsSilent(now):
+	case n.ownerIsSilent(now), now < n.asker.recoveringUntil:
 		return ownerlessWait
 	}
 	return maxWait
 }
 
+// maxWaiters is the number of requests that may keep waiting while the owner's bucket is empty:
+// those that its refill in a short time allows. The bucket of a new owner starts nearly empty, so
+// that the requests that have waited for it may keep waiting.
+func (n *Node) maxWaiters(now time.Duration, a *account) int {
+	period := deniedPause
+	if now < n.asker.recoveringUntil {
+		period = ownerlessWait
+	}
+	return max(int(a.limit.Rate*period.Seconds()), 1)
+}
+
 // ownerIsSilent reports whether a question was not answered by an owner in time.
 func (n *Node) ownerIsSilent(now time.Duration) bool {
 	since := n.asker.unansweredSince
--- a/internal/quota/parameters.go
+++ b/internal/quota/parameters.go
@@ -69,6 +69,8 @@
 	// ownerlessWait bounds the wait while the owner is silent. It covers most of the time until
 	// the owner is replaced: a late response is better than a rejection.
 	ownerlessWait = 600 * time.Millisecond
+	// recoveryPeriod is the time after such a silence in which requests may still wait as long.
+	recoveryPeriod = time.Second
 	// detachedAfter is the time without an answer of an owner after which no replacement is
 	// expected soon. Requests then wait only for detachedWait.
 	detachedAfter = 1600 * time.Millisecond
@@ -76,7 +78,7 @@
 	// startupPeriod is the time after the start in which requests wait up to startupWait: the
 	// daemon may not know the others yet, and daemons that start together can't vote yet.
 	startupPeriod = 3 * time.Second
-	startupWait   = time.Second
+	startupWait   = 1500 * time.Millisecond
 	// forgetAfter is the time after which an unused account is forgotten.
 	forgetAfter = 10 * time.Second
 	// minRetryAfter and maxRetryAfter bound the time after which a rejected caller should
