--- a/internal/quota/served_test.go
+++ b/internal/quota/served_test.go
@@ -100,6 +100,7 @@
 	n.runUntil(20 * time.Second)
 	n.report(t)
 	require.NotNil(t, n.owner())
+	n.checkBound(t, usual, 0)
 	require.Less(t, float64(n.rejections), 1.5*usualLoad)
 }
 
@@ -115,6 +116,7 @@
 	n.runUntil(20 * time.Second)
 	n.report(t)
 	require.NotNil(t, n.owner())
+	n.checkBound(t, usual, 0)
 	require.Zero(t, n.rejections)
 }
 
@@ -155,6 +157,7 @@
 	n.runUntil(30 * time.Second)
 	n.report(t)
 	require.Equal(t, rejected, n.rejections)
+	n.checkBound(t, usual, 0)
 	require.Less(t, float64(n.rejections), 1.5*usualLoad)
 }
 
