Fewer requests for votes from a daemon that is cut off

Such a daemon would have opened a connection to all others in each round, up to 3 rounds a second with calls of up to 1 s: more than the descriptors reserved for other daemons at 153 of them. At most one request for a vote is now under way to each daemon, and the pause between rounds doubles up to 2 s while no majority replies.

--- a/internal/gatewayd/quotamessages.go
+++ b/internal/gatewayd/quotamessages.go
@@ -21,11 +21,19 @@
 	case message.Vote != nil:
 		q.sendVote(ctx, message)
 	case message.Release != nil:
-		// A release that is lost delays the next owner until the votes end.
-		_ = q.client.Notify(ctx, message.To, peer.MethodQuotaRelease, message.Release)
+		q.sendRelease(ctx, message.To, message.Release)
 	}
 }
 
+// sendRelease gives back a vote, after the end of a request for it that is under way.
+func (q *quotas) sendRelease(ctx context.Context, address string, release *quota.Release) {
+	if q.votes.postpone(address, release) {
+		return
+	}
+	// A release that is lost delays the next owner until the vote ends.
+	_ = q.client.Notify(ctx, address, peer.MethodQuotaRelease, release)
+}
+
 func (q *quotas) sendAsk(ctx context.Context, message quota.Message) {
 	var reply quota.AskReply
 	err := q.client.Call(ctx, message.To, peer.MethodQuotaAsk, message.Ask, &reply)
@@ -39,9 +47,16 @@
 }
 
 func (q *quotas) sendVote(ctx context.Context, message quota.Message) {
+	if !q.votes.begin(message.To) {
+		return
+	}
 	var reply quota.VoteReply
-	// A daemon that doesn't reply hasn't voted.
-	if q.client.Call(ctx, message.To, peer.MethodQuotaVote, message.Vote, &reply) != nil {
+	err := q.client.Call(ctx, message.To, peer.MethodQuotaVote, message.Vote, &reply)
+	if release := q.votes.end(message.To); release != nil {
+		q.sendRelease(ctx, message.To, release)
+	}
+	if err != nil {
+		// A daemon that doesn't reply hasn't voted, as far as this one knows.
 		return
 	}
 	q.update(func(now time.Duration) { q.node.VoteReplied(now, message.Vote.Round, message.To, reply) })
--- a/internal/gatewayd/quotas.go
+++ b/internal/gatewayd/quotas.go
@@ -30,6 +30,7 @@
 	client  *peer.Client
 	limiter *rate.Limiter
 	members quotaMembers
+	votes   voteCalls
 
 	mu   sync.Mutex
 	node *quota.Node
@@ -51,6 +52,7 @@
 		client:  client,
 		limiter: rate.NewLimiter(rate.Every(quotaLogInterval), quotaLogBurst),
 		members: newQuotaMembers(d.settings.Name, d.settings.PeerAddress),
+		votes:   voteCalls{byAddress: map[string]*quota.Release{}},
 	}
 	q.node = quota.NewNode(monotonic.SinceBoot(), quota.Options{
 		Self:        d.settings.PeerAddress,
--- a/internal/quota/election.go
+++ b/internal/quota/election.go
@@ -23,6 +23,8 @@
 	nextRound time.Duration
 	// lease is nil unless this daemon is the owner.
 	lease *lease
+	// unreached counts the rounds in a row in which no majority replied.
+	unreached int
 	// holder is the owner that refusing voters have named.
 	holder string
 }
@@ -127,6 +129,9 @@
 	return e.succeed(now)
 }
 
+// reached reports whether as many daemons replied as can grant the lease.
+func (r *round) reached() bool { return 2*(len(r.granted)+r.refused) > r.electorate }
+
 // everyoneReplied reports whether no reply is missing.
 func (r *round) everyoneReplied() bool { return len(r.granted)+r.refused >= len(r.asked) }
 
@@ -176,6 +181,12 @@
 	if pause > maxLeft {
 		pause = maxBackoff
 	}
+	if e.round.reached() {
+		e.unreached = 0
+	} else {
+		pause = min(maxBackoff<<e.unreached, maxUnreachedBackoff)
+		e.unreached = min(e.unreached+1, maxUnreached)
+	}
 	e.nextRound = now + pause + time.Duration(e.random()*float64(backoffSpread))
 }
 
--- a/internal/quota/parameters.go
+++ b/internal/quota/parameters.go
@@ -25,6 +25,11 @@
 	maxBackoff    = 250 * time.Millisecond
 	maxLeft       = 700 * time.Millisecond
 	backoffSpread = 60 * time.Millisecond
+	// maxUnreachedBackoff bounds the pause, which doubles while no majority replies, up to
+	// maxUnreached times. A daemon that is cut off would otherwise keep opening connections to all
+	// others.
+	maxUnreachedBackoff = 2 * time.Second
+	maxUnreached        = 3
 	// candidateFor is how long after the last question a daemon tries to become the owner.
 	candidateFor = time.Second
 	// ownerIdle is the time without a question after which the owner gives up its lease, so that
--- a/internal/quota/voter_test.go
+++ b/internal/quota/voter_test.go
@@ -46,6 +46,18 @@
 	require.False(t, n.IsOwner(asked+leaseDuration))
 }
 
+// Guards against a daemon that is cut off and keeps asking all others for their votes.
+func TestCandidateThatReachesNobodyAsksLessAndLess(t *testing.T) {
+	n := newNetwork(13, 30, usual)
+	n.loadAll(n.vms[:1], usualLoad, time.Minute)
+	n.cut = func(_, _ *vm) bool { return true }
+	n.runUntil(10 * time.Second)
+	before := n.vms[0].node.Counts().Votes
+	n.runUntil(40 * time.Second)
+	rounds := float64(n.vms[0].node.Counts().Votes-before) / float64(len(n.vms)-1)
+	require.LessOrEqual(t, rounds, 30/maxUnreachedBackoff.Seconds()+1)
+}
+
 // Guards against a release that arrives late and ends a vote that was renewed since.
 func TestLateReleaseDoesNotEndLaterVote(t *testing.T) {
 	start := time.Hour
