--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,6 +46,7 @@
 	lastSent *targetclient.Attempt
 	// claim is that of the call's content, if it is suspected of crashing targets.
 	claim quarantine.Holder
+	quota quotaState
 }
 
 // findRoute returns the route of a request, or nil if there is none.
@@ -98,23 +99,19 @@
 	g.timers.set(c.timeout, c.placed.Deadline)
 	exchange.WatchCaller(c)
 	if !c.done {
-		c.admit(standing)
+		c.begin(standing)
 	}
 }
 
-// admit is where the quota of the call's workspace is checked, before the call is placed. There
-// is no quota yet.
-func (c *call) admit(standing quarantine.Standing) { c.place(standing) }
-
 // place submits the call, if need be after other daemons have confirmed that its content may be
 // sent.
 func (c *call) place(standing quarantine.Standing) {
-	if standing == quarantine.Suspected {
-		c.placed.Suspected = true
-		c.awaitClaim()
+	if standing == quarantine.Unsuspected {
+		c.submit()
 		return
 	}
-	c.submit()
+	c.placed.Suspected = true
+	c.awaitClaim()
 }
 
 // submit passes the call to the pool of its service.
@@ -193,6 +190,7 @@
 func (c *call) finish() {
 	c.done = true
 	c.gateway.timers.stop(c.timeout)
+	c.endQuota()
 	c.releaseClaim()
 }
 
--- a/internal/gatewayd/metrics.go
+++ b/internal/gatewayd/metrics.go
@@ -52,6 +52,7 @@
 		rejectionsDesc, rejectedConfigsDesc, revisionDesc,
 		platformUnavailableDesc, storeEpochDesc, feedAgeDesc, advertisedDesc,
 		suspectsDesc, violationsDesc, hedgesDesc, suppressedHedgesDesc,
+		quotaRequestsDesc, quotaPermitsDesc, quotaMessagesDesc, quotaOwnerDesc,
 	} {
 		descriptions <- d
 	}
@@ -104,6 +105,7 @@
 		gauge(feedAgeDesc, (time.Duration(report.AgeMillis) * time.Millisecond).Seconds(), report.Kind)
 	}
 	c.collectSuspects(gauge)
+	c.collectQuotas(counter, gauge)
 	for name, violations := range invariant.Breaches() {
 		counter(violationsDesc, violations, string(name))
 	}
--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -54,6 +54,7 @@
 	for failures := 0; failures < maxListFailures && !d.stopping.Load(); {
 		members, err := d.platform.RegisteredDaemons(true)
 		if err == nil {
+			d.learnQuotaMembers(members)
 			d.configPeers.askAll(members)
 			break
 		}
@@ -74,5 +75,6 @@
 		return err
 	}
 	d.node.Learn(members)
+	d.learnQuotaMembers(members)
 	return nil
 }
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -53,6 +53,12 @@
 	// EvacuateTime is the time within which the evacuation of an availability zone has to take
 	// effect. 0 means that zones are not evacuated.
 	EvacuateTime time.Duration
+	// QuotaWindow, QuotaOverage and QuotaSlack define how far workspaces may exceed their quotas:
+	// all daemons together run at most (rate x QuotaWindow + burst) x (1 + QuotaOverage) +
+	// QuotaSlack requests in every window. If QuotaWindow is 0, no quota is enforced.
+	QuotaWindow  time.Duration
+	QuotaOverage float64
+	QuotaSlack   float64
 }
 
 // Feeds are the objects in the platform's store that a daemon watches.
