Extend the cold time by a health check

The response to a check that was sent after the last sign could only shorten the cold time. A target that became cold again while it was cold got requests without a limit too early.

--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -200,9 +200,10 @@
 	case remaining <= 0 && state.assumed && sentSince:
 		// It has not been cold, so its load needn't rise gradually.
 		state.until, state.assumed = time.Time{}, false
+	case told && sentSince && remaining <= 0:
+		state.until, state.assumed = earlier(state.until, now), false
 	case told && sentSince:
-		state.until = earlier(state.until, now.Add(remaining))
-		state.assumed = false
+		state.until, state.assumed = now.Add(remaining), false
 	case told && remaining > 0:
 		p.beginCold(now, t, remaining)
 	}
--- a/internal/placement/cold_test.go
+++ b/internal/placement/cold_test.go
@@ -275,9 +275,11 @@
 		f.load(rapid.Float64Range(20, 300).Draw(rt, "load"), 6*time.Second, f.anyDaemon)
 		for range 12 {
 			target := f.targets[rapid.IntRange(0, len(f.targets)-1).Draw(rt, "target")]
-			switch rapid.SampledFrom([]string{"entry", "restart", "share", "wait"}).Draw(rt, "event") {
+			switch rapid.SampledFrom([]string{"entry", "check", "restart", "share", "wait"}).Draw(rt, "event") {
 			case "entry":
 				f.chill(target, true)
+			case "check":
+				f.chill(target, false)
 			case "restart":
 				target.info.Incarnation++
 				target.info.SlowStartFor = 0
--- a/internal/placement/coldretry_test.go
+++ b/internal/placement/coldretry_test.go
@@ -70,3 +70,22 @@
 	h.pool.UpdateTargets(h.now, []TargetInfo{coldInfo("a1", "a")})
 	require.False(t, h.isCold("a1"))
 }
+
+// Guards against a target that becomes cold again while it is cold, and whose later end is missed.
+func TestHealthCheckExtendsTheColdTime(t *testing.T) {
+	h := coldHarness(t, 1, coldInfo("a1", "a"))
+	target := h.pool.targets["a1"]
+	// The first check was sent before the entry was read, the second one after it.
+	for i, took := range []time.Duration{100 * time.Millisecond, 20 * time.Millisecond} {
+		target.probing, target.probedAt = i > 0, h.now
+		h.now = h.now.Add(took)
+		h.pool.RecordColdTime(h.now, target, coldTime, true)
+		h.now = h.now.Add(coldTime - 50*time.Millisecond)
+		require.True(t, h.isCold("a1"), "check %d", i)
+		target.probing = false
+	}
+	target.probing, target.probedAt = true, h.now
+	h.pool.RecordColdTime(h.now, target, time.Millisecond, true)
+	h.now = h.now.Add(time.Millisecond)
+	require.False(t, h.isCold("a1"), "the target's own word is the later one")
+}
