--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -57,6 +57,10 @@
 	// LocalDelay and RemoteDelay are the one-way network delays within an availability
 	// zone and between zones.
 	LocalDelay, RemoteDelay time.Duration
+	// SameArrivals draws arrivals apart from the rest, so that callers arrive at the same times
+	// with the same work in all runs with a seed, whatever the daemons do. It makes runs
+	// comparable at full load, where the outcome depends most on the arrivals.
+	SameArrivals bool
 	// ArrivalPeriod is the time during which new requests arrive.
 	ArrivalPeriod time.Duration
 }
@@ -72,6 +76,7 @@
 type simulation struct {
 	scenario Scenario
 	rng      *rand.Rand
+	arrivals *rand.Rand
 	now      time.Time
 	events   eventHeap
 	order    uint64
@@ -121,6 +126,10 @@
 		start:    start,
 		result:   newResult(scenario, policy),
 	}
+	s.arrivals = s.rng
+	if scenario.SameArrivals {
+		s.arrivals = rand.New(rand.NewPCG(seed, 3))
+	}
 	for i := range scenario.Targets {
 		s.targets = append(s.targets, newTarget(s, i))
 	}
@@ -146,8 +155,8 @@
 	if elapsed >= s.scenario.BurstStart && elapsed < s.scenario.BurstStart+s.scenario.BurstDuration {
 		rate *= s.scenario.BurstFactor
 	}
-	s.schedule(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.nextArrival)
-	factor := 1 + s.scenario.Spread*s.rng.NormFloat64()
+	s.schedule(time.Duration(s.arrivals.ExpFloat64()/rate*float64(time.Second)), s.nextArrival)
+	factor := 1 + s.scenario.Spread*s.arrivals.NormFloat64()
 	s.arrive(&job{first: s.now, work: time.Duration(max(factor, minServiceTimeFactor) * float64(s.scenario.ServiceTime))})
 }
 
--- a/internal/emulator/hedging.go
+++ b/internal/emulator/hedging.go
@@ -37,6 +37,7 @@
 	s.ServiceTime, s.Objective = hedgingServiceTime, 3*hedgingServiceTime
 	s.Timeout, s.CallerTimeout = 12*hedgingServiceTime, 25*hedgingServiceTime
 	s.BurstFactor = 1
+	s.SameArrivals = true
 	meanTime := hedgingServiceTime.Seconds() * (1 + stragglerShare*(s.StragglerFactor-1))
 	s.Rate = load * hedgingTargets * usableSlots / meanTime
 	return s
--- a/internal/emulator/hedging_test.go
+++ b/internal/emulator/hedging_test.go
@@ -10,7 +10,7 @@
 	hedgeRatio = 0.05
 	// hedgingRuns is the number of simulation runs in which response times are compared,
 	// limitRuns that in which only the limit is checked.
-	hedgingRuns, limitRuns = 10, 3
+	hedgingRuns, limitRuns = 16, 3
 	// noise is the allowed relative difference of means over hedgingRuns simulation runs.
 	noise = 0.05
 	// fewerServed is the allowed difference of shares of callers.
