--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -16,11 +16,17 @@
 func main() {
 	seeds := 5
 	plot := ""
+	hedging := false
 	flaggy.SetName("placement")
 	flaggy.SetDescription("compares request placement policies in virtual time")
 	flaggy.Int(&seeds, "s", "seeds", "number of simulation runs for each scenario")
 	flaggy.String(&plot, "p", "plot", "file for an SVG plot of the share of callers answered in time, by window")
+	flaggy.Bool(&hedging, "", "hedging", "compares limits on hedges instead of policies")
 	flaggy.Parse()
+	if hedging {
+		compareHedging(seeds)
+		return
+	}
 	if err := run(seeds, plot); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
