--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -62,6 +62,10 @@
 	// LocalDelay and RemoteDelay are the one-way network delays within an availability
 	// zone and between zones.
 	LocalDelay, RemoteDelay time.Duration
+	// SameArrivals draws arrivals apart from the rest, so that callers arrive at the same times
+	// with the same work in all runs with a seed, whatever the daemons do. It makes runs
+	// comparable at full load, where the outcome depends most on the arrivals.
+	SameArrivals bool
 	// ArrivalPeriod is the time during which new requests arrive.
 	ArrivalPeriod time.Duration
 }
@@ -77,6 +81,7 @@
 type simulation struct {
 	scenario Scenario
 	rng      *rand.Rand
+	arrivals *rand.Rand
 	now      time.Time
 	events   eventHeap
 	order    uint64
@@ -128,6 +133,10 @@
 		start:    start,
 		result:   newResult(scenario, policy),
 	}
+	s.arrivals = s.rng
+	if scenario.SameArrivals {
+		s.arrivals = rand.New(rand.NewPCG(seed, 3))
+	}
 	for i := range scenario.Targets {
 		s.targets = append(s.targets, newTarget(s, i))
 	}
@@ -153,17 +162,17 @@
 	if elapsed >= s.scenario.BurstStart && elapsed < s.scenario.BurstStart+s.scenario.BurstDuration {
 		burst = s.scenario.BurstFactor
 	}
-	s.schedule(time.Duration(s.rng.ExpFloat64()/(burst*s.scenario.Rate)*float64(time.Second)), s.nextArrival)
-	factor := 1 + s.scenario.Spread*s.rng.NormFloat64()
+	s.schedule(time.Duration(s.arrivals.ExpFloat64()/(burst*s.scenario.Rate)*float64(time.Second)), s.nextArrival)
+	factor := 1 + s.scenario.Spread*s.arrivals.NormFloat64()
 	s.arrive(&job{first: s.now, workspace: s.anyWorkspace(burst), work: time.Duration(max(factor, minServiceTimeFactor) * float64(s.scenario.ServiceTime))})
 }
 
 // anyWorkspace returns the workspace of an arrival while the rate is burst times the usual one.
 func (s *simulation) anyWorkspace(burst float64) int {
-	if s.scenario.Workspaces == 0 || s.rng.Float64()*burst >= 1 {
+	if s.scenario.Workspaces == 0 || s.arrivals.Float64()*burst >= 1 {
 		return 0
 	}
-	return s.rng.IntN(s.scenario.Workspaces)
+	return s.arrivals.IntN(s.scenario.Workspaces)
 }
 
 // executionTime returns the time that one execution of a job takes at a target of usual speed.
