--- a/internal/framing/chunks.go
+++ b/internal/framing/chunks.go
@@ -99,8 +99,8 @@
 	return len(body) + 1, false, nil
 }
 
-// nextLine returns the line at offset without its end and moves offset behind it. It returns
-// false if the line is incomplete.
+// nextLine returns the line at offset with its end and moves offset behind it. It returns false if
+// the line is incomplete.
 func (c *Chunks) nextLine(body []byte) ([]byte, bool) {
 	rest := body[c.offset:]
 	end := bytes.IndexByte(rest[c.searched:], '\n')
@@ -111,7 +111,7 @@
 	end += c.searched
 	c.searched = 0
 	c.offset += end + 1
-	return bytes.TrimSuffix(rest[:end], []byte{'\r'}), true
+	return rest[:end+1], true
 }
 
 // checkLineLength returns an error if the incomplete line at offset is too long.
@@ -128,12 +128,9 @@
 // beginChunk moves offset behind the data of the chunk that begins with the given line, which
 // was the last one before offset.
 func (c *Chunks) beginChunk(line []byte) error {
-	if len(line) > MaxChunkLineBytes {
-		return c.problem(LineTooLong)
-	}
-	size, valid := parseSize(line)
-	if !valid {
-		return c.problem(InvalidSize)
+	size, problem := parseSizeLine(line)
+	if problem != "" {
+		return c.problem(problem)
 	}
 	if size == 0 {
 		c.trailerStart = c.offset
@@ -163,13 +160,30 @@
 	if c.offset-c.trailerStart > MaxTrailerBytes {
 		return false, c.problem(TrailersTooLong)
 	}
-	return len(line) == 0, nil
+	return isEmptyLine(line), nil
 }
 
+// isEmptyLine reports whether a line consists of its end.
+func isEmptyLine(line []byte) bool { return bytes.Equal(line, crlf) || len(line) == 1 }
+
 func (c *Chunks) problem(p Problem) error { return &ChunkError{Problem: p, Offset: c.offset} }
 
+// parseSizeLine returns the size on the line at the start of a chunk, or what is wrong with the
+// line. It accepts what the codec accepts when it decodes a complete body, so that an invalid body
+// is found where it becomes invalid.
+func parseSizeLine(line []byte) (int, Problem) {
+	line, found := bytes.CutSuffix(line, crlf)
+	if len(line) > MaxChunkLineBytes {
+		return 0, LineTooLong
+	}
+	if !found || bytes.IndexByte(line, '\r') >= 0 {
+		return 0, InvalidSize
+	}
+	return parseSize(line)
+}
+
 // parseSize parses the hexadecimal size at the start of a chunk's line. Extensions are ignored.
-func parseSize(line []byte) (int, bool) {
+func parseSize(line []byte) (int, Problem) {
 	size, digits := 0, 0
 	for digits < len(line) {
 		digit, ok := hexDigit(line[digits])
@@ -179,11 +193,15 @@
 		size = size<<4 | digit
 		digits++
 		if digits > maxSizeDigits {
-			return 0, false
+			return 0, InvalidSize
 		}
 	}
-	rest := bytes.TrimLeft(line[digits:], " \t")
-	return size, digits > 0 && (len(rest) == 0 || rest[0] == ';')
+	rest := line[digits:]
+	extended := len(rest) > 0 && rest[0] == ';'
+	if digits == 0 || !extended && len(bytes.TrimLeft(rest, " \t")) > 0 {
+		return 0, InvalidSize
+	}
+	return size, ""
 }
 
 func hexDigit(c byte) (int, bool) {
