Bound what a gateway holds for callers and targets

Cause: a large body was held in gnet's input buffer, the parsed request, the serialized request and the output buffer to the target, without any bound over all connections; a chunked body with its framing. The server for callers takes large bodies over into segments as they arrive, the targetclient sends them segment by segment from there, and both count what they hold. When the budget is short, the server sheds incomplete requests (503, or 408 if they have stopped), unread responses and pipelined input, the largest and longest idle connections first; small requests are refused with 503 only above a reserve. Without memory_mb everything is counted and nothing limited. Metrics: held_bytes, held_bytes_limit, memory_closes_total, caller_connections.

--- a/internal/callerserver/close.go
+++ b/internal/callerserver/close.go
@@ -27,11 +27,12 @@
 func (s *Server) deliver(e *Exchange, response *bytebufferpool.ByteBuffer) {
 	if !e.state.open || e.dropped {
 		bytebufferpool.Put(response)
-		s.inFlight.Add(-1)
+		s.end(e)
 		return
 	}
 	if e.state.exchange != e {
 		e.serialized = response
+		s.charge(e, response.Len())
 		return
 	}
 	s.send(e, response)
@@ -53,13 +54,15 @@
 // flush finishes an exchange once the kernel has accepted the whole response; until then
 // it schedules another check.
 func (s *Server) flush(conn gnet.Conn, state *connState) error {
-	if conn.OutboundBuffered() > 0 {
+	unsent := conn.OutboundBuffered()
+	s.trackOutput(state, unsent)
+	if unsent > 0 {
 		time.AfterFunc(flushPollInterval, func() { _ = conn.Wake(nil) })
 		return nil
 	}
-	s.inFlight.Add(-1)
 	exchange := state.exchange
 	state.exchange = nil
+	s.end(exchange)
 	if exchange.closeAfter.Load() {
 		s.dropQueued(state)
 		state.phase.Store(phaseIdle)
@@ -115,7 +118,7 @@
 		if exchange.serialized != nil {
 			bytebufferpool.Put(exchange.serialized)
 			exchange.serialized = nil
-			s.inFlight.Add(-1)
+			s.end(exchange)
 			continue
 		}
 		exchange.callerDisconnected()
@@ -134,6 +137,7 @@
 		return nil
 	}
 	_, _ = conn.Discard(-1)
+	s.trackInput(conn, state)
 	if err := syscall.Shutdown(conn.Fd(), syscall.SHUT_WR); err != nil {
 		return conn.Close()
 	}
--- a/internal/callerserver/events.go
+++ b/internal/callerserver/events.go
@@ -55,12 +55,13 @@
 	state.open = false
 	state.dropUpload()
 	s.trackBuffered(state, 0)
+	s.releaseBuffers(state)
 	exchange := state.exchange
 	state.exchange = nil
 	switch {
 	case exchange == nil:
 	case state.phase.Load() == phaseFlushing:
-		s.inFlight.Add(-1)
+		s.end(exchange)
 	default:
 		exchange.callerDisconnected()
 	}
--- a/internal/callerserver/exchange.go
+++ b/internal/callerserver/exchange.go
@@ -10,6 +10,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/segments"
 )
 
 // EnrolledConn is the gnet context of a connection that another package has enrolled in the
@@ -33,6 +35,10 @@
 	concurrent bool
 	// dropped is set if the connection ends before the response can be sent.
 	dropped bool
+	// charged are the bytes of the exchange that count in the server's budget.
+	charged int32
+	// body is the body of the request if it isn't part of it, or nil.
+	body *segments.Body
 	// serialized holds the response until the responses before it are sent.
 	serialized *bytebufferpool.ByteBuffer
 
@@ -67,6 +73,11 @@
 // LocalAddr returns the local address at which the request arrived.
 func (e *Exchange) LocalAddr() net.Addr { return e.conn.LocalAddr() }
 
+// Body returns the body of the request if the request has it not itself, as it is the case for large
+// bodies of a server with a budget, or nil. It is dropped at the end of the exchange unless the
+// handler has retained it.
+func (e *Exchange) Body() *segments.Body { return e.body }
+
 // CallerIP returns the IP of the caller.
 func (e *Exchange) CallerIP() string { return e.state.callerIP }
 
--- a/internal/callerserver/limits.go
+++ b/internal/callerserver/limits.go
@@ -38,6 +38,7 @@
 	parseErr = s.limits.Load().judge(parseErr)
 	s.rejections.record(parseErr, state.callerIP, s.limits.Load())
 	s.trackBuffered(state, 0)
+	state.dropUpload()
 	_, _ = conn.Write(closingResponse(parseErr))
 	_ = s.closeGracefully(conn, state)
 	return gnet.None
--- a/internal/callerserver/requests.go
+++ b/internal/callerserver/requests.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/segments"
 )
 
 // OnTraffic implements gnet.EventHandler.
@@ -11,6 +13,13 @@
 		return enrolled.HandleTraffic(conn)
 	}
 	state := conn.Context().(*connState)
+	action := s.readRequests(conn, state)
+	s.trackInput(conn, state)
+	return action
+}
+
+// readRequests starts the requests in the connection's buffer, as far as they may be started.
+func (s *Server) readRequests(conn gnet.Conn, state *connState) gnet.Action {
 	switch state.phase.Load() {
 	case phaseClosing:
 		_ = s.closeGracefully(conn, state)
@@ -40,7 +49,7 @@
 	if arrived := conn.InboundBuffered(); arrived < state.requestSize {
 		return false, s.awaitMore(conn, state, arrived)
 	}
-	buffered, err := conn.Peek(-1)
+	buffered, err := conn.Peek(s.viewSize(conn, limits))
 	if err != nil || len(buffered) == 0 {
 		return false, gnet.None
 	}
@@ -65,22 +74,25 @@
 		return false, s.awaitMore(conn, state, len(buffered))
 	}
 	concurrent := s.mayRunConcurrently(request)
+	if s.budget.Exhausted() {
+		return s.refuseForMemory(conn, state, request)
+	}
 	if state.exchange != nil && !concurrent {
 		fasthttp.ReleaseRequest(request)
 		state.blocked = true
 		return false, gnet.None
 	}
 	_, _ = conn.Discard(size)
-	return s.begin(conn, state, request, concurrent)
+	return s.begin(conn, state, request, nil, concurrent)
 }
 
-// begin passes a request that was taken from the connection's buffer to the handler. more is set
-// if another one may follow.
-func (s *Server) begin(conn gnet.Conn, state *connState, request *fasthttp.Request, concurrent bool) (more bool, action gnet.Action) {
+// begin passes a request that was taken from the connection's buffer to the handler, with its body
+// if that isn't part of request. more is set if another one may follow.
+func (s *Server) begin(conn gnet.Conn, state *connState, request *fasthttp.Request, body *segments.Body, concurrent bool) (more bool, action gnet.Action) {
 	state.requestSize = 0
 	state.continueSent = false
 	s.trackBuffered(state, 0)
-	s.serve(conn, state, request, concurrent)
+	s.serve(conn, state, request, body, concurrent)
 	return state.open && conn.InboundBuffered() > 0, gnet.None
 }
 
@@ -134,9 +146,11 @@
 	if state.exchange != nil {
 		return gnet.None
 	}
+	now := s.now()
 	if state.phase.Swap(phasePartial) != phasePartial {
-		state.waitingSince.Set(s.now())
+		state.waitingSince.Set(now)
 	}
+	state.progress.Set(now)
 	if s.trackBuffered(state, arrived) {
 		return s.reject(conn, state, &ParseError{Status: fasthttp.StatusServiceUnavailable, Reason: "buffers_full"})
 	}
@@ -144,14 +158,16 @@
 }
 
 // serve passes a request to the handler.
-func (s *Server) serve(conn gnet.Conn, state *connState, request *fasthttp.Request, concurrent bool) {
+func (s *Server) serve(conn gnet.Conn, state *connState, request *fasthttp.Request, body *segments.Body, concurrent bool) {
 	exchange := &Exchange{
 		server:     s,
 		conn:       conn,
 		loop:       conn.EventLoop(),
 		state:      state,
 		concurrent: concurrent,
+		body:       body,
 	}
+	s.charge(exchange, exchangeBytes+len(request.Header.RawHeaders())+len(request.Body()))
 	exchange.closeAfter.Store(request.Header.ConnectionClose())
 	if state.exchange == nil {
 		state.phase.Store(phaseServing)
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -17,6 +17,8 @@
 	"github.com/panjf2000/gnet/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/bytebudget"
 )
 
 // Limits bounds the resources that callers can take up.
@@ -85,6 +87,10 @@
 	// openConnections counts the open connections. gnet's own count can't be read while
 	// the engine starts.
 	openConnections atomic.Int64
+	// budget is nil if the bytes that are held for callers aren't accounted for.
+	budget *bytebudget.Budget
+	// closes counts the connections that were closed to free memory.
+	closes closes
 	// buffered is the total size of incompletely received requests.
 	buffered atomic.Int64
 	// now reads the clock by which connections time out.
@@ -108,6 +114,11 @@
 // SetLimits replaces the limits. They apply to whatever callers send from then on.
 func (s *Server) SetLimits(limits Limits) { s.limits.Store(&limits) }
 
+// SetBudget makes the server account for what it holds for callers and take over large bodies as
+// they arrive, which handlers then get from Exchange.Body. It must be called before RunSingleLoop.
+// The budget must call Relieve when it is short.
+func (s *Server) SetBudget(budget *bytebudget.Budget) { s.budget = budget }
+
 // Run accepts connections on address ("ip:port") with the given number of event loops
 // until Stop is called.
 func (s *Server) Run(address string, eventLoops int) error {
--- a/internal/callerserver/state.go
+++ b/internal/callerserver/state.go
@@ -30,8 +30,14 @@
 	// requestSize is the size of the incomplete request, 0 if not yet known or if the requests
 	// before it are unanswered.
 	requestSize int
-	// upload is the incomplete request if it is chunked and none before it is unfinished.
+	// upload is the incomplete request if its body is taken over as it arrives and no request
+	// before it is unfinished.
 	upload *upload
+	// input is the size of the connection's buffer that counts in the server's budget, and output
+	// that of responses that the caller has yet to receive.
+	input, output int
+	// progress is when bytes of the request or of the response were last transferred.
+	progress monotonic.Instant
 	// pipelined is set while exchanges are queued behind exchange.
 	pipelined atomic.Bool
 	// waitingSince is the time since which the server waits for the caller. It is unset
--- a/internal/callerserver/upload_test.go
+++ b/internal/callerserver/upload_test.go
@@ -31,6 +31,15 @@
 	return n, nil
 }
 
+// Peek implements inbound.
+func (a *arrivals) Peek(n int) ([]byte, error) { return a.data[:n], nil }
+
+// Discard implements inbound.
+func (a *arrivals) Discard(n int) (int, error) {
+	a.data = a.data[n:]
+	return n, nil
+}
+
 // parseInPieces parses a request that arrives in pieces like the server does when no exchange is
 // in progress. It returns what parse returns.
 func parseInPieces(data []byte, pieceBytes int, limits Limits) (request *fasthttp.Request, size int, err error) {
--- a/internal/framing/decoder.go
+++ b/internal/framing/decoder.go
@@ -33,9 +33,6 @@
 // Offset returns the number of bytes of the encoded body that were decoded.
 func (d *Decoder) Offset() int { return d.offset }
 
-// Left returns the number of bytes of the current chunk that have yet to arrive.
-func (d *Decoder) Left() int { return d.left }
-
 // Trailers returns the lines after the last chunk with the empty one, once the body is complete.
 func (d *Decoder) Trailers() []byte { return d.trailers }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,7 +27,12 @@
 	target := placed.Target
 	a := &attempt{call: c, placed: placed, sentAt: now}
 	placed.Handle = a
+	if c.body != nil && !c.body.Retain() {
+		a.finish(now, placement.Result{Outcome: placement.NotSent})
+		return
+	}
 	if !c.maySend(now) {
+		a.releaseBody()
 		a.finish(now, placement.Result{Outcome: placement.NotSent, Quarantined: true})
 		return
 	}
@@ -37,6 +42,7 @@
 	a.request = fasthttp.AcquireRequest()
 	c.request.Header.CopyTo(&a.request.Header)
 	a.request.SetBodyRaw(c.request.Body())
+	a.exchange.Body = c.body
 	a.request.Header.SetNoDefaultContentType(true)
 	stripHopHeaders(&a.request.Header)
 	a.request.Header.Del(fasthttp.HeaderExpect)
@@ -50,6 +56,13 @@
 // may keep its connection.
 const abandonedGracePeriod = 5 * time.Second
 
+// releaseBody gives up the attempt's reference to a body that isn't part of the request.
+func (a *attempt) releaseBody() {
+	if a.call.body != nil {
+		a.call.body.Release()
+	}
+}
+
 // cancel stops the attempt. Its result is discarded.
 func (a *attempt) cancel() {
 	a.canceled = true
@@ -61,6 +74,7 @@
 	fasthttp.ReleaseRequest(a.request)
 	a.request = nil
 	a.call.sending--
+	defer a.releaseBody()
 	defer a.call.releaseClaim()
 	if a.canceled {
 		if response != nil {
@@ -108,7 +122,7 @@
 // updateBytes updates the route's mean size of a request and its response.
 func (a *attempt) updateBytes(response *fasthttp.Response) {
 	state := a.call.state
-	bytes := float64(headerBytes + len(a.call.request.Body()) + len(response.Body()))
+	bytes := float64(headerBytes + a.call.bodyBytes + len(response.Body()))
 	if state.bytes == 0 {
 		state.bytes = bytes
 		return
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -10,6 +10,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
+	"github.com/poplarwheel/poplarwheel/internal/segments"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
@@ -26,8 +27,16 @@
 	service  *service
 	exchange *callerserver.Exchange
 	request  *fasthttp.Request
-	route    *route.Route
-	state    *routeState
+	// body is the body of the request if it isn't part of it, or nil. It may be dropped once the
+	// call is done.
+	body *segments.Body
+	// bodyBytes is the size of the body.
+	bodyBytes int
+	// contentIdentity is that of a request with a body that may be dropped, once it is known.
+	contentIdentity *quarantine.Identity
+
+	route *route.Route
+	state *routeState
 	// placed is the request as the service's pool knows it.
 	placed  placement.Request
 	timeout *timer
@@ -119,11 +128,16 @@
 		service:       g.service(state.splitter.Next(r)),
 		exchange:      exchange,
 		request:       request,
+		body:          exchange.Body(),
+		bodyBytes:     len(request.Body()),
 		route:         r,
 		state:         state,
 		started:       now,
 		callerTimeout: callerTimeout,
 	}
+	if c.body != nil {
+		c.bodyBytes = c.body.Len()
+	}
 	c.placed = placement.Request{
 		Idempotent:   r.Idempotent,
 		MaxAttempts:  r.MaxAttempts,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/errs"
 
+	"github.com/poplarwheel/poplarwheel/internal/bytebudget"
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/placement"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
@@ -57,6 +58,8 @@
 	// ResponseBytes is the maximum size of all incomplete responses of targets together. 0
 	// means unlimited.
 	ResponseBytes int64
+	// Budget accounts for what is held for callers and targets. It may be nil.
+	Budget *bytebudget.Budget
 	// ProbeRate is the maximum number of probes per second to each target by all daemons
 	// together. 0 means unlimited.
 	ProbeRate float64
@@ -135,6 +138,7 @@
 		IdleTimeout:         targetIdleTimeout,
 		MaxConnections:      options.TargetConnections,
 		MaxBufferedBytes:    options.ResponseBytes,
+		Budget:              options.Budget,
 	})
 	return g
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -21,17 +21,28 @@
 // before Apply.
 func (g *Gateway) SetQuarantine(keeper *quarantine.Coordinator) { g.quarantine = keeper }
 
-// identity returns the identity of the request for the quarantine.
+// identity returns the identity of the request for the quarantine. That of a request with a body
+// that may be dropped is computed only once, while the body is held.
 func (c *call) identity() quarantine.Identity {
-	parts := [][]byte{
-		c.request.Header.Method(),
-		c.request.Header.Host(),
-		c.request.Header.RequestURI(),
-		c.request.Body(),
+	if c.contentIdentity != nil {
+		return *c.contentIdentity
 	}
-	content := fingerprint.Of(parts...)
-	byCaller := fingerprint.Of(append(parts, []byte(c.exchange.CallerIP()))...)
-	return quarantine.Identity{Content: quarantine.Content(content), ByCaller: quarantine.Content(byCaller)}
+	body := [][]byte{c.request.Body()}
+	if c.body != nil {
+		body = c.body.Segments()
+	}
+	digest := fingerprint.New()
+	digest.Add(c.request.Header.Method())
+	digest.Add(c.request.Header.Host())
+	digest.Add(c.request.Header.RequestURI())
+	digest.Add(body...)
+	id := quarantine.Identity{Content: quarantine.Content(digest.Sum())}
+	digest.Add([]byte(c.exchange.CallerIP()))
+	id.ByCaller = quarantine.Content(digest.Sum())
+	if c.body != nil {
+		c.contentIdentity = &id
+	}
+	return id
 }
 
 // standing returns whether the call may be sent, judged by its content.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/zeebo/errs"
 
+	"github.com/poplarwheel/poplarwheel/internal/bytebudget"
 	"github.com/poplarwheel/poplarwheel/internal/callerserver"
 	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
@@ -72,6 +73,8 @@
 	feeds    *relay.Store
 	gateway  *gateway.Gateway
 	server   *callerserver.Server
+	// budget accounts for what is held for callers and targets.
+	budget *bytebudget.Budget
 	// closers are the listeners and servers to close on exit.
 	closers []io.Closer
 	// quarantine detects requests that crash targets.
@@ -165,6 +168,7 @@
 // listen starts the server for callers and the gateway on its event loop. The channel
 // receives the error with which the server ends.
 func (d *Daemon) listen() (<-chan error, error) {
+	d.budget = bytebudget.New(d.settings.Resources.heldBytes())
 	d.gateway = gateway.New(gateway.Options{
 		Zone:        d.settings.Zone,
 		Zones:       d.settings.Zones,
@@ -176,6 +180,7 @@
 
 		TargetConnections: d.settings.Resources.targetConnections(),
 		ResponseBytes:     d.settings.Resources.responseBytes(),
+		Budget:            d.budget,
 	}, d.log)
 	handler, err := d.newPortDispatcher()
 	if err != nil {
@@ -184,6 +189,7 @@
 	limits := d.callerLimits(initialLimits)
 	limits.Provisional = true
 	d.server = callerserver.New(handler, limits, d.log)
+	d.server.SetBudget(d.budget)
 	failed := make(chan error, 1)
 	go func() {
 		failed <- d.server.RunSingleLoop([]string{d.settings.CallerAddress, d.settings.DirectoryAddress, d.settings.ReadinessAddress})
@@ -197,6 +203,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	d.relieveWhenShort(loop)
 	d.gateway.Start(loop)
 	go d.updateShares()
 	return failed, nil
--- a/internal/gatewayd/metrics.go
+++ b/internal/gatewayd/metrics.go
@@ -24,6 +24,10 @@
 	sentDesc                = newDesc("sends_total", "Requests sent to targets.")
 	givenUpDesc             = newDesc("given_up_answers_total", "Answers of targets that were given up, by what was wrong.", "violation")
 	answerBytesDesc         = newDesc("incomplete_answer_bytes", "Bytes of answers of targets that are incomplete.")
+	heldDesc                = newDesc("held_bytes", "Bytes held for callers and targets, by kind.", "kind")
+	heldLimitDesc           = newDesc("held_bytes_limit", "Maximum of all bytes held for callers and targets, 0 for none.")
+	memoryClosesDesc        = newDesc("memory_closes_total", "Connections of callers that were closed to free memory, by reason.", "reason")
+	callerConnectionsDesc   = newDesc("caller_connections", "Open connections of callers.")
 	probesDesc              = newDesc("probes_total", "Questions to targets for their load, by result.", "result")
 	queuedDesc              = newDesc("queued", "Requests that wait for a target, by service.", "service")
 	targetsDesc             = newDesc("targets", "Targets, by service and state.", "service", "state")
@@ -42,6 +46,7 @@
 func (c *collector) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		answersDesc, elapsedDesc, lateDesc, sentDesc, givenUpDesc, answerBytesDesc,
+		heldDesc, heldLimitDesc, memoryClosesDesc, callerConnectionsDesc,
 		probesDesc, queuedDesc, targetsDesc,
 		rejectionsDesc, rejectedConfigsDesc, revisionDesc,
 		platformUnavailableDesc, storeEpochDesc, feedAgeDesc, advertisedDesc,
@@ -77,6 +82,14 @@
 		counter(givenUpDesc, count, string(violation))
 	}
 	gauge(answerBytesDesc, float64(state.ResponseBytes))
+	for kind, bytes := range c.daemon.budget.Held() {
+		gauge(heldDesc, float64(bytes), kind)
+	}
+	gauge(heldLimitDesc, float64(c.daemon.budget.Limit()))
+	for reason, count := range c.daemon.server.Closes() {
+		counter(memoryClosesDesc, count, reason)
+	}
+	gauge(callerConnectionsDesc, float64(c.daemon.server.Connections()))
 	counter(probesDesc, counts.Probes-counts.ProbesTimedOut, "answered")
 	counter(probesDesc, counts.ProbesTimedOut, "lost")
 	metrics <- prometheus.MustNewConstHistogram(elapsedDesc, counts.Delivered, counts.ElapsedSum.Seconds(), elapsedBuckets(counts))
--- a/internal/targetclient/client.go
+++ b/internal/targetclient/client.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/netdial"
+	"github.com/poplarwheel/poplarwheel/internal/segments"
 )
 
 const (
@@ -56,7 +57,7 @@
 
 // NewWithRules returns a client that applies the given rules.
 func NewWithRules(rules Rules) *Client {
-	return &Client{dialFunc: netdial.Direct, rules: rules, memory: responseMemory{limit: rules.MaxBufferedBytes}}
+	return &Client{dialFunc: netdial.Direct, rules: rules, memory: responseMemory{limit: rules.MaxBufferedBytes, budget: rules.Budget}}
 }
 
 // BufferedBytes returns the bytes of incomplete responses on all connections.
@@ -203,10 +204,16 @@
 }
 
 // serialize returns the bytes of the request in a pooled buffer, which the caller must
-// return to the pool.
-func serialize(request *fasthttp.Request) (*bytebufferpool.ByteBuffer, error) {
+// return to the pool. A body of its own is not part of it.
+func serialize(request *fasthttp.Request, body *segments.Body) (*bytebufferpool.ByteBuffer, error) {
 	buffer := bytebufferpool.Get()
-	if _, err := request.WriteTo(buffer); err != nil {
+	var err error
+	if body != nil {
+		err = writeHeader(buffer, &request.Header, body)
+	} else {
+		_, err = request.WriteTo(buffer)
+	}
+	if err != nil {
 		bytebufferpool.Put(buffer)
 		return nil, err
 	}
--- a/internal/targetclient/conn.go
+++ b/internal/targetclient/conn.go
@@ -29,6 +29,11 @@
 	current *exchange
 	// receiver assembles the response of the current exchange.
 	receiver receiver
+	// sender sends the body of the current exchange.
+	sender sender
+	// queued are the bytes of requests that the target has yet to receive, as they count in the
+	// budget.
+	queued int
 	// exchanges is the number of exchanges that were sent on the connection.
 	exchanges int
 	// discarded is the number of responses to other requests during the current exchange.
@@ -67,7 +72,7 @@
 
 // send writes the request of an exchange.
 func (c *targetConn) send(e *exchange) {
-	buffer, err := serialize(e.request)
+	buffer, err := serialize(e.request, e.attempt.Body)
 	if err != nil {
 		c.release()
 		e.finish(nil, &NotSentError{Cause: err})
@@ -81,7 +86,13 @@
 	c.pool.busy[c] = struct{}{}
 	if _, err := c.conn.Write(buffer.B); err != nil {
 		c.fail(err)
+		return
+	}
+	if e.attempt.Body != nil {
+		c.sender = newSender(e)
+		c.sendBody(e)
 	}
+	c.trackQueued()
 }
 
 // HandleTraffic reads a response from the connection.
@@ -167,7 +178,9 @@
 func (c *targetConn) complete(response *fasthttp.Response) {
 	e := c.current
 	c.current = nil
-	if c.doubtful || response.ConnectionClose() || c.conn.OutboundBuffered() > 0 {
+	unsent := c.sender.pending() || c.conn.OutboundBuffered() > 0
+	c.sender = sender{}
+	if c.doubtful || response.ConnectionClose() || unsent {
 		c.close()
 	} else {
 		c.idleTimeout = c.rules().idleTimeout(response)
@@ -199,6 +212,7 @@
 		invariant.Breached(invariant.AnswerMatchesAttempt, "connection to %s returned with an exchange", c.pool.address)
 	}
 	delete(c.pool.busy, c)
+	c.trackQueued()
 	if c.idleTimeout == 0 {
 		c.idleTimeout = c.rules().IdleTimeout
 	}
@@ -210,6 +224,7 @@
 func (c *targetConn) fail(cause error) {
 	e := c.current
 	c.current = nil
+	c.sender = sender{}
 	c.receiver.reset(false)
 	c.close()
 	if e != nil {
@@ -230,6 +245,8 @@
 // HandleClose is called when either side has closed the connection.
 func (c *targetConn) HandleClose(cause error) {
 	c.pool.unreserve()
+	c.sender = sender{}
+	c.setQueued(0)
 	delete(c.pool.busy, c)
 	for i, idle := range c.pool.idle {
 		if idle == c {
--- a/internal/targetclient/exchange.go
+++ b/internal/targetclient/exchange.go
@@ -6,6 +6,8 @@
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/segments"
 )
 
 // Address identifies a target and its connection limit.
@@ -25,6 +27,9 @@
 	// before Client.Start is called. A connection carries a request only once, since a second
 	// copy of the response to an earlier attempt can't be told from that to this one.
 	Previous *Attempt
+	// Body is the body of the request if the request has it not itself, or nil. It must be set
+	// before Client.Start is called and be retained until the attempt ends.
+	Body *segments.Body
 
 	mu sync.Mutex
 	// loop is nil until the attempt is started.
--- a/internal/targetclient/rules.go
+++ b/internal/targetclient/rules.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/bytebudget"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
@@ -39,6 +40,9 @@
 	// an attempt whose response needs more fails with ErrMemory; responses of up to 16 KiB
 	// are received nevertheless. 0 means no limit.
 	MaxBufferedBytes int64
+	// Budget accounts for incomplete responses and for requests that targets have yet to receive.
+	// While it is exhausted, the same holds as at MaxBufferedBytes. It may be nil.
+	Budget *bytebudget.Budget
 }
 
 // keepAliveMargin is how long before the target's own idle timeout a connection is no longer
