--- a/internal/callerserver/upload.go
+++ b/internal/callerserver/upload.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/panjf2000/gnet/v2"
 	"github.com/valyala/fasthttp"
@@ -74,11 +75,7 @@
 // read takes over what has arrived of the request and no byte behind it. It returns the request
 // once it is complete, and nil before. The error is a *ParseError.
 func (u *upload) read(conn inbound, limits Limits) (*fasthttp.Request, error) {
-	readBody := u.readAnnounced
-	if u.chunked {
-		readBody = u.readChunks
-	}
-	complete, err := readBody(conn, limits)
+	complete, err := u.readBody(conn, limits)
 	if !complete || err != nil {
 		return nil, err
 	}
@@ -89,8 +86,15 @@
 	return u.request, nil
 }
 
+func (u *upload) readBody(conn inbound, limits Limits) (complete bool, err error) {
+	if u.chunked {
+		return u.readChunks(conn, limits)
+	}
+	return u.readAnnounced(conn)
+}
+
 // readAnnounced takes over what has arrived of a body whose length is announced.
-func (u *upload) readAnnounced(conn inbound, _ Limits) (complete bool, err error) {
+func (u *upload) readAnnounced(conn inbound) (complete bool, err error) {
 	for u.body.Len() < u.announced {
 		expected := u.announced - u.body.Len()
 		arrived := min(conn.InboundBuffered(), expected)
@@ -147,12 +151,19 @@
 	return u.headerSize + u.body.Len()
 }
 
-// lastChunk is the line of the last chunk.
-const lastChunk = "0\r\n"
+var (
+	// lastChunk is the line of the last chunk, and emptyChunks a body without data and trailers.
+	lastChunk   = []byte("0\r\n")
+	emptyChunks = []byte("0\r\n\r\n")
+	lineEnd     = []byte("\r\n")
+)
 
 // decodeTrailers adds the trailers of a chunked body to the request.
 func decodeTrailers(request *fasthttp.Request, trailers []byte, limits Limits) error {
-	return decodeChunks(request, append([]byte(lastChunk), trailers...), limits)
+	if len(trailers) == 0 {
+		return decodeChunks(request, emptyChunks, limits)
+	}
+	return decodeChunks(request, slices.Concat(lastChunk, trailers, lineEnd), limits)
 }
 
 // chunkError returns the error for a request with an invalid chunked body.
