--- a/internal/callerserver/benchmark_test.go
+++ b/internal/callerserver/benchmark_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/bytebudget"
 )
 
 // emptyHandler responds on the event loop, without a body.
@@ -86,3 +88,35 @@
 		runtime.Gosched()
 	}
 }
+
+// BenchmarkSmallRequest measures a request that arrives whole, without and with a budget.
+func BenchmarkSmallRequest(b *testing.B) {
+	for name, start := range map[string]func() string{
+		"no_budget": func() string {
+			_, address := startHandler(b, emptyHandler{}, budgetLimits())
+			return address
+		},
+		"budget": func() string {
+			_, address := startWithBudget(b, emptyHandler{}, bytebudget.New(1<<30))
+			return address
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			conn, err := net.Dial("tcp", start())
+			require.NoError(b, err)
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			request := []byte(post(strings.Repeat("x", 1000)))
+			response := &fasthttp.Response{}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := conn.Write(request); err != nil {
+					b.Fatal(err)
+				}
+				if err := response.Read(reader); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
