Evict stopped callers at the limit of connections; count connections

Cause: callers that stop in the middle of a request occupy the places of callers, readiness checks among them, until their time to send is over. Change: at the limit, a server with a budget refuses the requests that have stopped for longest with 408, an eighth of the connections at once at most. Idle connections stay, since a request may be on its way. The states of connections count in the budget; closes are logged within the bound for rejected requests. Exchange is as large as before the budget.

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -23,6 +23,8 @@
 	Requests
 	// Input is what callers have sent that wasn't read yet, such as pipelined requests.
 	Input
+	// Connections are the states of callers' connections.
+	Connections
 	// Responses are incomplete responses of targets.
 	Responses
 	// Output are responses that callers, and requests that targets, have not yet received.
@@ -30,7 +32,7 @@
 	kinds
 )
 
-var names = [kinds]string{"arriving", "bodies", "requests", "input", "responses", "output"}
+var names = [kinds]string{"arriving", "bodies", "requests", "input", "connections", "responses", "output"}
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string { return names[k] }
--- a/internal/callerserver/events.go
+++ b/internal/callerserver/events.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
+
+	"github.com/poplarwheel/poplarwheel/internal/bytebudget"
 )
 
 // OnBoot implements gnet.EventHandler.
@@ -25,7 +27,9 @@
 	default:
 	}
 	state := &connState{open: true, callerIP: ipOf(conn.RemoteAddr())}
+	s.budget.Add(bytebudget.Connections, connectionBytes)
 	if s.exceedsConnectionLimit(s.openConnections.Add(1)) {
+		s.scheduleEviction(conn.EventLoop())
 		conn.SetContext(state)
 		return s.connectionLimitResponse(), gnet.Close
 	}
@@ -51,6 +55,7 @@
 	}
 	s.conns.Delete(conn)
 	s.openConnections.Add(-1)
+	s.budget.Add(bytebudget.Connections, -connectionBytes)
 	state := conn.Context().(*connState)
 	state.open = false
 	state.dropUpload()
--- a/internal/callerserver/exchange.go
+++ b/internal/callerserver/exchange.go
@@ -35,6 +35,8 @@
 	concurrent bool
 	// dropped is set if the connection ends before the response can be sent.
 	dropped bool
+	// disconnected is set once the caller has disconnected.
+	disconnected bool
 	// charged are the bytes of the exchange that count in the server's budget.
 	charged int32
 	// body is the body of the request if it isn't part of it, or nil.
@@ -45,10 +47,9 @@
 	observer Observer
 	started  time.Time
 
-	mu sync.Mutex
-	// disconnected is set once the caller has disconnected.
-	disconnected bool
-	watcher      CallerWatcher
+	// mu protects watcher and disconnected.
+	mu      sync.Mutex
+	watcher CallerWatcher
 }
 
 // CallerWatcher is notified when a caller closes its connection.
--- a/internal/callerserver/memory.go
+++ b/internal/callerserver/memory.go
@@ -2,9 +2,7 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
@@ -17,6 +15,8 @@
 	// exchangeBytes is the assumed size of the state of an exchange and its processing, without
 	// what the caller has sent.
 	exchangeBytes = 4 << 10
+	// connectionBytes is the assumed size of the state of a connection.
+	connectionBytes = 3 << 10
 	// inlineBytes is the size of a body up to which a request that has arrived whole is read in one
 	// piece.
 	inlineBytes = 32 << 10
@@ -171,52 +171,34 @@
 	state := h.state
 	switch {
 	case state.output > 0:
-		s.closes.record(reasonSlowReader)
+		s.rejections.recordClose(reasonSlowReader, state.callerIP, h.held)
 		_ = h.conn.EventLoop().Close(h.conn)
 	case state.exchange != nil:
 		// The requests before the input are answered, then the connection is closed.
-		s.closes.record(reasonPipelined)
+		s.rejections.recordClose(reasonPipelined, state.callerIP, h.held)
 		state.discarding = true
 		discarded, _ := h.conn.Discard(-1)
 		state.discarded += discarded
 		s.trackInput(h.conn, state)
 	default:
-		s.refuseUpload(h)
+		s.shedIncomplete(h)
 	}
 }
 
-// refuseUpload refuses an incomplete request of which nothing was passed on.
-func (s *Server) refuseUpload(h holder) {
+// shedIncomplete refuses an incomplete request to free memory.
+func (s *Server) shedIncomplete(h holder) {
 	status, reason := fasthttp.StatusServiceUnavailable, reasonMemory
 	if idle, _ := h.state.progress.Elapsed(s.now()); idle > stoppedTime {
 		status, reason = fasthttp.StatusRequestTimeout, reasonStopped
 	}
+	s.refuseIncomplete(h, status, reason)
+}
+
+// refuseIncomplete refuses an incomplete request, of which nothing was passed on.
+func (s *Server) refuseIncomplete(h holder, status int, reason string) {
 	var err error = &ParseError{Status: status, Reason: reason}
 	if h.state.upload != nil {
 		err = rejection(h.state.upload.request, status, reason)
 	}
 	_ = s.reject(h.conn, h.state, err)
 }
-
-// closes counts closed connections by reason. It is safe for concurrent use.
-type closes struct {
-	mu     sync.Mutex
-	counts map[string]uint64
-}
-
-func (c *closes) record(reason string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.counts == nil {
-		c.counts = map[string]uint64{}
-	}
-	c.counts[reason]++
-}
-
-// Closes returns the number of connections that were closed to free memory, by reason. Those of
-// incomplete requests are in Rejections instead.
-func (s *Server) Closes() map[string]uint64 {
-	s.closes.mu.Lock()
-	defer s.closes.mu.Unlock()
-	return maps.Clone(s.closes.counts)
-}
--- a/internal/callerserver/rejections.go
+++ b/internal/callerserver/rejections.go
@@ -25,6 +25,8 @@
 	mu sync.Mutex
 	// counts holds the number of rejections by the reason of the ParseError.
 	counts map[string]uint64
+	// closes holds the number of connections that were closed to free memory, by reason.
+	closes map[string]uint64
 }
 
 func newRejections(log logrus.FieldLogger) *rejections {
@@ -32,6 +34,7 @@
 		log:     log,
 		limiter: rate.NewLimiter(rejectionLinesPerSecond, rejectionBurst),
 		counts:  map[string]uint64{},
+		closes:  map[string]uint64{},
 	}
 }
 
@@ -52,6 +55,24 @@
 	}).WithError(err).Warn("request rejected")
 }
 
+// recordClose counts a connection that is closed to free memory, and logs it.
+func (r *rejections) recordClose(reason, callerIP string, held int) {
+	r.mu.Lock()
+	r.closes[reason]++
+	r.mu.Unlock()
+	if r.limiter.Allow() {
+		r.log.WithFields(logrus.Fields{"caller": callerIP, "reason": reason, "held_bytes": held}).Warn("connection closed to free memory")
+	}
+}
+
+// Closes returns the number of connections that the server has closed since its start to free
+// memory, by reason. Those of incomplete requests are in Rejections instead.
+func (s *Server) Closes() map[string]uint64 {
+	s.rejections.mu.Lock()
+	defer s.rejections.mu.Unlock()
+	return maps.Clone(s.rejections.closes)
+}
+
 // Rejections returns the number of requests that the server has rejected since its start,
 // by the reason of the ParseError.
 func (s *Server) Rejections() map[string]uint64 {
--- a/internal/callerserver/server.go
+++ b/internal/callerserver/server.go
@@ -89,8 +89,9 @@
 	openConnections atomic.Int64
 	// budget is nil if the bytes that are held for callers aren't accounted for.
 	budget *bytebudget.Budget
-	// closes counts the connections that were closed to free memory.
-	closes closes
+	// nextEviction is when stopped callers may be evicted again. It is accessed only on the event
+	// loop of a server with a budget.
+	nextEviction time.Time
 	// buffered is the total size of incompletely received requests.
 	buffered atomic.Int64
 	// now reads the clock by which connections time out.
