--- a/internal/callerserver/memory.go
+++ b/internal/callerserver/memory.go
@@ -33,12 +33,16 @@
 	stoppedTime = time.Second
 )
 
-// Reasons for refusals and closes to free memory.
+// Reasons for refusals to free memory.
 const (
-	reasonMemory     = "memory"
-	reasonStopped    = "memory_stopped_sending"
-	reasonSlowReader = "memory_slow_reader"
-	reasonPipelined  = "memory_pipelined_input"
+	reasonMemory  = "memory"
+	reasonStopped = "memory_stopped_sending"
+)
+
+// Reasons for closes to free memory.
+const (
+	closeSlowReader = "memory_slow_reader"
+	closePipelined  = "memory_pipelined_input"
 )
 
 // viewSize returns how much of the connection's buffer is looked at for the next request. With a
@@ -171,11 +175,11 @@
 	state := h.state
 	switch {
 	case state.output > 0:
-		s.rejections.recordClose(reasonSlowReader, state.callerIP, h.held)
+		s.rejections.recordClose(closeSlowReader, state.callerIP, h.held)
 		_ = h.conn.EventLoop().Close(h.conn)
 	case state.exchange != nil:
 		// The requests before the input are answered, then the connection is closed.
-		s.rejections.recordClose(reasonPipelined, state.callerIP, h.held)
+		s.rejections.recordClose(closePipelined, state.callerIP, h.held)
 		state.discarding = true
 		discarded, _ := h.conn.Discard(-1)
 		state.discarded += discarded
--- a/internal/callerserver/memory_test.go
+++ b/internal/callerserver/memory_test.go
@@ -183,7 +183,7 @@
 	server, address := startWithBudget(t, largeResponder{}, budget)
 	conn := dial(t, address)
 	send(t, conn, post("a"))
-	require.Eventually(t, func() bool { return server.Closes()[reasonSlowReader] == 1 }, settleTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return server.Closes()[closeSlowReader] == 1 }, settleTimeout, time.Millisecond)
 	requireNothingHeld(t, budget)
 }
 
@@ -198,7 +198,7 @@
 	status, _ := readResponse(t, reader)
 	require.Equal(t, fasthttp.StatusOK, status)
 	requireClosed(t, reader)
-	require.EqualValues(t, 1, server.Closes()[reasonPipelined])
+	require.EqualValues(t, 1, server.Closes()[closePipelined])
 	requireNothingHeld(t, budget)
 }
 
