--- a/internal/gatewayd/coldshare_test.go
+++ b/internal/gatewayd/coldshare_test.go
@@ -10,13 +10,13 @@
 	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
 )
 
-// A cold target bears rate x overage + slack requests in any one second. Daemons use coldMargin of the
-// rate.
+// A cold target bears coldRate x coldOverage + coldSlack requests in any one second.
+// Daemons use coldMargin of the rate.
 const (
-	rate       = 5.2
-	overage    = 1.5
-	slack      = 8
-	coldMargin = 0.9
+	coldRate    = 5.2
+	coldOverage = 1.5
+	coldSlack   = 8
+	coldMargin  = 0.9
 )
 
 // noticeTime is the longest time within which a daemon notices that another one has fallen silent
@@ -46,7 +46,7 @@
 func newColdZone(size, advertised, zones int) *coldZone {
 	z := &coldZone{advertised: advertised}
 	for range size {
-		d := &zoneDaemon{share: newColdShare(slack, zones), running: true, wrongSince: make([]time.Time, size)}
+		d := &zoneDaemon{share: newColdShare(coldSlack, zones), running: true, wrongSince: make([]time.Time, size)}
 		for range size {
 			d.reached = append(d.reached, true)
 		}
@@ -138,7 +138,7 @@
 			if !flapping {
 				require.LessOrEqual(rt, sum, 1/float64(zones)+1e-9)
 			}
-			require.LessOrEqual(rt, (coldMargin*rate*sum+float64(senders))*float64(zones), rate*overage+slack)
+			require.LessOrEqual(rt, (coldMargin*coldRate*sum+float64(senders))*float64(zones), coldRate*coldOverage+coldSlack)
 			require.LessOrEqual(rt, senders*zones, 8)
 			now = now.Add(shareInterval)
 		}
