--- a/internal/placement/assign.go
+++ b/internal/placement/assign.go
@@ -110,6 +110,7 @@
 		invariant.Breached(invariant.DispatchedOnce, "non-idempotent request that may have run sent to %s", t.ID)
 	}
 	p.recordColdSend(now, t)
+	p.checkCold(now, t)
 	slowness := t.Slowness(now)
 	a := &Attempt{Request: r, Target: t, Slowness: slowness, sentAt: now, workDoneAt: now, currentSlowness: slowness}
 	r.queued = false
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -23,6 +23,10 @@
 	// coldTrickle is the interval at which a cold target gets a request although faster targets
 	// have room, so that a target that joins is in use from the beginning.
 	coldTrickle = time.Second
+	// coldCheckInterval is the time after the last health check of a target at which a request to
+	// it is accompanied by another one. Targets whose responses show their load need no health
+	// checks otherwise, and only these show that a target has become cold.
+	coldCheckInterval = 200 * time.Millisecond
 	// coldShareExpiry is how long a share holds without being set again. A daemon that was frozen
 	// must not use the share that it had before.
 	coldShareExpiry = 2 * time.Second
--- a/internal/placement/coldrate.go
+++ b/internal/placement/coldrate.go
@@ -109,3 +109,19 @@
 	}
 	return true
 }
+
+// checkCold probes a target that gets a request, unless it was probed lately, so that the daemon learns
+// when the target becomes cold.
+func (p *Pool) checkCold(now time.Time, t *Target) {
+	if t.cold == nil || p.noReports || t.probing || now.Sub(t.probedAt) < coldCheckInterval {
+		return
+	}
+	p.emitProbe(now, t)
+}
+
+// lacksProbes reports whether the probes that are left are kept for checkCold: one for each target, if
+// requests to cold targets are limited.
+func (p *Pool) lacksProbes(now time.Time) bool {
+	reserve := float64(len(p.cold.targets))
+	return reserve > 0 && p.probeLimiter.TokensAt(now) < 1+reserve
+}
--- a/internal/placement/coldretry_test.go
+++ b/internal/placement/coldretry_test.go
@@ -89,3 +89,30 @@
 	h.now = h.now.Add(time.Millisecond)
 	require.False(t, h.isCold("a1"), "the target's own word is the later one")
 }
+
+// Guards against a target that becomes cold unnoticed, because its responses show its load, so that it
+// needs no health checks, or because the probes are used up.
+func TestBusyTargetIsCheckedForCold(t *testing.T) {
+	h := coldHarness(t, 1, targetInfo("a1", "a"))
+	h.pool.SetProbeRate(h.now, 3)
+	sent, checks := 0, 0
+	a := h.arriveAndSend(h.request(true), normalReport(0))
+	for range 1000 {
+		h.now = h.now.Add(10 * time.Millisecond)
+		h.setShare(1)
+		h.pool.AttemptFinished(h.now, a, Result{Outcome: Answered, Report: normalReport(0)})
+		for _, action := range append([]Action(nil), h.pool.Submit(h.now, h.request(true))...) {
+			switch action.Kind {
+			case Probe:
+				checks++
+				h.pool.ProbeAnswered(h.now, action.Target, normalReport(1), true)
+			case Send:
+				sent++
+				a = action.Attempt
+			}
+		}
+	}
+	require.Equal(t, 1000, sent)
+	require.GreaterOrEqual(t, checks, 25)
+	require.LessOrEqual(t, checks, 50)
+}
--- a/internal/placement/probe.go
+++ b/internal/placement/probe.go
@@ -46,6 +46,14 @@
 
 // startProbe probes a target unless the probe limiter is exhausted.
 func (p *Pool) startProbe(now time.Time, t *Target) {
+	if p.probeLimiter != nil && p.lacksProbes(now) {
+		return
+	}
+	p.emitProbe(now, t)
+}
+
+// emitProbe probes a target if the probe limiter allows it.
+func (p *Pool) emitProbe(now time.Time, t *Target) {
 	if p.probeLimiter != nil && !p.probeLimiter.AllowN(now, 1) {
 		return
 	}
