Leave the permits of a short quota to requests that can be in time

While the owner has refused permits within the last second, a request that can't be answered in time is rejected.

--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -16,6 +16,9 @@
 	// Admit decides on a request. If the verdict is that it waits, decided is called later, on
 	// any goroutine and unless the request is canceled.
 	Admit(workspace *route.Workspace, revision uint64, decided func(quota.Verdict)) (quota.Verdict, *quota.Waiter)
+	// RejectLate rejects a request that can't be answered in time if the workspace asks for more
+	// than its quota. It returns false if the request isn't rejected.
+	RejectLate(workspace *route.Workspace) (quota.Verdict, bool)
 	// Cancel ends the wait of a request.
 	Cancel(waiter *quota.Waiter)
 	// Return gives back the permit of a request that was not sent.
@@ -41,6 +44,12 @@
 		c.place(standing)
 		return
 	}
+	if !c.placed.CanBeInTime(time.Now()) {
+		if verdict, rejected := g.quotas.RejectLate(c.workspace); rejected {
+			c.applyVerdict(verdict, standing)
+			return
+		}
+	}
 	verdict, waiter := g.quotas.Admit(c.workspace, g.table.Revision(), func(verdict quota.Verdict) {
 		g.runOnLoop(func() { c.decided(verdict) })
 	})
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -34,6 +34,10 @@
 	returned int
 }
 
+func (f *fakeQuotas) RejectLate(*route.Workspace) (quota.Verdict, bool) {
+	return quota.Verdict{}, false
+}
+
 func (f *fakeQuotas) Admit(_ *route.Workspace, _ uint64, decided func(quota.Verdict)) (quota.Verdict, *quota.Waiter) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gatewayd/quotas.go
+++ b/internal/gatewayd/quotas.go
@@ -69,6 +69,14 @@
 	go d.followQuotaMembers()
 }
 
+// RejectLate implements gateway.Quotas.
+func (q *quotas) RejectLate(workspace *route.Workspace) (verdict quota.Verdict, rejected bool) {
+	q.update(func(now time.Duration) {
+		verdict, rejected = q.node.RejectLate(now, workspace.Name)
+	})
+	return verdict, rejected
+}
+
 // Admit implements gateway.Quotas.
 func (q *quotas) Admit(workspace *route.Workspace, revision uint64, decided func(quota.Verdict)) (verdict quota.Verdict, waiter *quota.Waiter) {
 	limit := quota.Limit{Rate: workspace.Quota.Rate, Burst: workspace.Quota.Burst, Revision: revision}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -104,6 +104,9 @@
 	return now.Before(r.latestInTimeStart())
 }
 
+// CanBeInTime reports whether the request can still be answered before its soft deadline.
+func (r *Request) CanBeInTime(now time.Time) bool { return r.inTime(now) }
+
 // latestInTimeStart returns the latest time to send the request for a response before
 // its soft deadline.
 func (r *Request) latestInTimeStart() time.Time {
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -31,6 +31,8 @@
 	usedAt  time.Duration
 	// deniedUntil is set when the owner's bucket was empty. Until then it isn't asked.
 	deniedUntil time.Duration
+	// shortUntil is set with deniedUntil. Until then the workspace asks for more than its quota.
+	shortUntil time.Duration
 	// fallbacks are the times of the last requests that were admitted without an owner.
 	fallbacks []time.Duration
 }
--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -101,6 +101,7 @@
 		return
 	}
 	a.deniedUntil = now + deniedPause
+	a.shortUntil = now + shortPeriod
 	for len(a.waiters) > n.maxWaiters(now, a) {
 		last := len(a.waiters) - 1
 		n.decide(a.waiters[last], n.reject())
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -73,6 +73,17 @@
 	return Verdict{Outcome: Waiting}, w
 }
 
+// RejectLate rejects a request that can't be answered in time any more, if its workspace asks for more
+// than its quota: the permit serves a caller who can be. It returns false if the request isn't
+// rejected.
+func (n *Node) RejectLate(now time.Duration, workspace string) (Verdict, bool) {
+	a := n.asker.accounts[workspace]
+	if a == nil || now >= a.shortUntil {
+		return Verdict{}, false
+	}
+	return n.reject(), true
+}
+
 // patience returns how long a request waits for a permit.
 func (n *Node) patience(now time.Duration) time.Duration {
 	switch {
--- a/internal/quota/parameters.go
+++ b/internal/quota/parameters.go
@@ -68,6 +68,9 @@
 	// deniedPause is the pause before the owner is asked again for a workspace whose bucket was
 	// empty.
 	deniedPause = 50 * time.Millisecond
+	// shortPeriod is the time after a refusal by the owner in which a workspace counts as asking for
+	// more than its quota.
+	shortPeriod = time.Second
 	// maxWait bounds the wait of a request for a permit. It covers a question that has to be
 	// repeated at another daemon.
 	maxWait = 250 * time.Millisecond
