Move the product's own store objects out of the adapter

The objects of registered daemons and quarantined contents are written and read only by the product, so their encoding isn't a translation of the platform's names. It moves to internal/gatewayd/objects.go, and gatewayd.Platform has one method that returns the store of objects. The kinds' names and the JSON stay as they are; TestStoredObjectsKeepTheirForm guards both.

In the log, the error of a registered daemon that can't be used has the prefix "gatewayd:" instead of "platform:". TestEntryVMWithoutIPAddressIsLeftOut moves with its code.

--- a/internal/gatewayd/drain.go
+++ b/internal/gatewayd/drain.go
@@ -69,7 +69,7 @@
 // deregister removes the daemon from the platform's list. If that fails, the other daemons
 // drop it because it stops sending heartbeats.
 func (d *Daemon) deregister() {
-	if err := d.platform.Deregister(); err != nil {
+	if err := d.deleteRegistration(); err != nil {
 		d.log.WithError(err).Warn("failed to deregister the daemon from the platform")
 	}
 }
--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -52,7 +52,7 @@
 // loadQuarantined loads the quarantined contents that are stored on the platform.
 func (d *Daemon) loadQuarantined() {
 	retryStore(func() bool {
-		stored, err := d.platform.LoadQuarantined()
+		stored, err := d.listQuarantined()
 		if err != nil {
 			d.log.WithError(err).Info("failed to read quarantined contents from the platform; retrying")
 			return false
@@ -85,7 +85,7 @@
 
 // deleteStored deletes a content from the platform. If that fails, the content expires.
 func (d *Daemon) deleteStored(content quarantine.Content) {
-	if err := d.platform.DeleteQuarantined(content); err != nil {
+	if err := d.deleteQuarantined(content); err != nil {
 		d.log.WithError(err).WithField("content", uint64(content)).Info("failed to delete quarantined content from the platform")
 	}
 }
@@ -128,7 +128,7 @@
 func (p *quarantinePeers) store(suspect quarantine.Suspect) {
 	suspect.ToldAt = time.Time{}
 	retryStore(func() bool {
-		if err := p.daemon.platform.StoreQuarantined(suspect); err != nil {
+		if err := p.daemon.storeQuarantined(suspect); err != nil {
 			p.daemon.log.WithError(err).WithField("content", uint64(suspect.Content)).Warn("quarantine not kept")
 			return false
 		}
--- a/internal/gatewayd/registration.go
+++ b/internal/gatewayd/registration.go
@@ -31,7 +31,7 @@
 	// daemon that restarts is already up to date.
 	self.State, self.StartedMillis = "", 0
 	for !d.stopping.Load() {
-		err := d.platform.Register(self)
+		err := d.storeRegistration(self)
 		if err == nil {
 			break
 		}
@@ -52,7 +52,7 @@
 // can't be listed although the platform responds to other calls, the daemon starts without.
 func (d *Daemon) askPeers() {
 	for failures := 0; failures < maxListFailures && !d.stopping.Load(); {
-		members, err := d.platform.RegisteredDaemons(true)
+		members, err := d.registeredDaemons(true)
 		if err == nil {
 			d.configPeers.askAll(members)
 			break
@@ -69,7 +69,7 @@
 
 // discover passes the registered daemons to the heartbeat node.
 func (d *Daemon) discover(stale bool) error {
-	members, err := d.platform.RegisteredDaemons(stale)
+	members, err := d.registeredDaemons(stale)
 	if err != nil {
 		return err
 	}
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -7,8 +7,6 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/feed"
 	"github.com/poplarwheel/poplarwheel/internal/gateway"
-	"github.com/poplarwheel/poplarwheel/internal/heartbeat"
-	"github.com/poplarwheel/poplarwheel/internal/quarantine"
 	"github.com/poplarwheel/poplarwheel/internal/route"
 )
 
@@ -78,19 +76,8 @@
 	Dialect() gateway.Dialect
 	// Feeds returns the objects that the daemon watches.
 	Feeds() Feeds
-	// Register adds the daemon to the list from which the other daemons learn of it, and
-	// Deregister removes it.
-	Register(member heartbeat.Member) error
-	Deregister() error
-	// RegisteredDaemons returns the registered daemons of all zones. A stale list costs less,
-	// but may be some seconds old.
-	RegisteredDaemons(stale bool) ([]heartbeat.Member, error)
-	// StoreQuarantined stores content that crashes targets, so that its quarantine survives a
-	// restart of all daemons. DeleteQuarantined deletes stored content, LoadQuarantined
-	// returns all of it.
-	StoreQuarantined(suspect quarantine.Suspect) error
-	DeleteQuarantined(content quarantine.Content) error
-	LoadQuarantined() ([]quarantine.Suspect, error)
+	// Objects returns the store of the daemon's own objects.
+	Objects() ObjectStore
 	// DirectoryResponse returns the response to a caller that asks for the advertised entry
 	// VMs, which it may cache for the given TTL.
 	DirectoryResponse(request *fasthttp.Request, advertised []string, ttl time.Duration) *fasthttp.Response
