Admit a share of the quotas while a deployment starts

After a restart of all daemons no owner of the quotas can be elected for about a second, since a daemon that has started may not vote before its earlier vote has ended.

A daemon that has not found an owner since its start admits a share of each quota without permits and reports them with its next question; the owner takes them from the bucket. The randomised tests of the bound run with it (400 cases each, passed), restarts of all and some daemons among them.

--- a/internal/gatewayd/quotametrics.go
+++ b/internal/gatewayd/quotametrics.go
@@ -17,7 +17,8 @@
 	}
 	state := c.daemon.quotas.state()
 	counts := state.Counts
-	counter(quotaRequestsDesc, counts.Admitted-counts.Fallback, "granted")
+	counter(quotaRequestsDesc, counts.Admitted-counts.Fallback-counts.Startup, "granted")
+	counter(quotaRequestsDesc, counts.Startup, "startup")
 	counter(quotaRequestsDesc, counts.Fallback, "fallback")
 	counter(quotaRequestsDesc, counts.Rejected, "rejected")
 	counter(quotaPermitsDesc, counts.Granted)
--- a/internal/gatewayd/quotas.go
+++ b/internal/gatewayd/quotas.go
@@ -21,6 +21,9 @@
 	// quotaLogInterval and quotaLogBurst limit the log lines about owners and fallbacks.
 	quotaLogInterval = 2 * time.Second
 	quotaLogBurst    = 20
+	// quotaStartupDaemons is the number of daemons of a zone that divide its part of the quotas while
+	// they start. Callers go to one to three of a zone.
+	quotaStartupDaemons = 2
 )
 
 // quotas runs the quotas of workspaces: it passes messages, times and requests to their state
@@ -59,6 +62,8 @@
 		Incarnation: uint64(d.started.UnixNano()),
 		Bound:       bound,
 		Random:      rand.Float64,
+
+		StartupShare: 1 / (quotaStartupDaemons * float64(max(len(d.settings.Zones), 1))),
 	})
 	q.timer = time.AfterFunc(time.Hour, q.tick)
 	server.Register(peer.MethodQuotaAsk, q.serveAsk)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -33,6 +33,7 @@
 	deniedUntil time.Duration
 	// shortUntil is set with deniedUntil. Until then the workspace asks for more than its quota.
 	shortUntil time.Duration
+	startup    startupUse
 	// fallbacks are the times of the last requests that were admitted without an owner.
 	fallbacks []time.Duration
 }
--- a/internal/quota/ask.go
+++ b/internal/quota/ask.go
@@ -35,10 +35,14 @@
 	var ask Ask
 	sent := sentAsk{sentAt: now}
 	for _, a := range n.asker.accounts {
-		if count := a.wanted(now); count > 0 && len(ask.Items) < maxAskItems {
-			ask.Items = append(ask.Items, AskItem{Workspace: a.workspace, Count: count, Rate: a.limit.Rate, Burst: a.limit.Burst, Revision: a.limit.Revision})
+		if count := a.wanted(now); count+a.startup.unreported > 0 && len(ask.Items) < maxAskItems {
+			ask.Items = append(ask.Items, AskItem{
+				Workspace: a.workspace, Count: count, Rate: a.limit.Rate, Burst: a.limit.Burst, Revision: a.limit.Revision,
+				Used: a.startup.unreported,
+			})
 			sent.accounts = append(sent.accounts, a)
 			sent.counts = append(sent.counts, count)
+			sent.used = append(sent.used, a.startup.unreported)
 		}
 	}
 	if len(ask.Items) == 0 {
@@ -79,6 +83,7 @@
 		n.asker.recoveringUntil = now + recoveryPeriod
 	}
 	n.asker.unansweredSince = 0
+	n.asker.ownerFound = true
 	n.asker.notBefore = 0
 	n.asker.locator.found(sent.to)
 	n.updateDetached(now)
@@ -87,6 +92,7 @@
 		if i < len(reply.Granted) {
 			granted = reply.Granted[i]
 		}
+		a.startup.unreported -= sent.used[i]
 		n.addGranted(now, a, sent, sent.counts[i], granted)
 	}
 	n.askIfNeeded(now)
--- a/internal/quota/asker.go
+++ b/internal/quota/asker.go
@@ -25,6 +25,8 @@
 	// the last one was answered.
 	unansweredSince time.Duration
 	detached        bool
+	// ownerFound is set once an owner has answered.
+	ownerFound bool
 	// recoveringUntil is when requests wait as usual again after an owner was silent.
 	recoveringUntil time.Duration
 	// nextSweep is when unused accounts are forgotten.
@@ -37,6 +39,8 @@
 	sentAt   time.Duration
 	accounts []*account
 	counts   []int
+	// used are the requests admitted without a permit that the question reports.
+	used []int
 }
 
 func newAsker(now time.Duration) asker {
@@ -63,6 +67,12 @@
 		}
 		return Verdict{Outcome: Admitted, Permit: permit}, nil
 	}
+	if n.admitsAtStart(now, a) {
+		n.counts.Admitted++
+		n.counts.Startup++
+		n.askIfNeeded(now)
+		return Verdict{Outcome: Admitted, Permit: Permit{workspace: a.workspace}}, nil
+	}
 	if now < a.deniedUntil && len(a.waiters) >= n.maxWaiters(now, a) {
 		return n.reject(), nil
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -56,6 +56,7 @@
 	}
 	known.refill(now)
 	known.setLimit(limit, b.bound.capacity(limit))
+	known.tokens -= float64(item.Used)
 	return known.take(item.Count)
 }
 
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -16,6 +16,9 @@
 	Rate     float64 `json:"r"`
 	Burst    float64 `json:"b"`
 	Revision uint64  `json:"v"`
+	// Used is the number of requests that the sender admitted without a permit after its start. They
+	// are taken from the bucket.
+	Used int `json:"u,omitempty"`
 }
 
 // AskReply answers an Ask.
@@ -127,6 +130,8 @@
 	// Admitted and Rejected count requests, Fallback those of the admitted ones without a permit
 	// of an owner.
 	Admitted, Rejected, Fallback uint64
+	// Startup counts those that were admitted before this daemon found an owner after its start.
+	Startup uint64
 	// Granted counts the permits that this daemon has granted as the owner.
 	Granted uint64
 	// Asks, Votes and Releases count messages sent.
--- a/internal/quota/network_test.go
+++ b/internal/quota/network_test.go
@@ -72,6 +72,9 @@
 	return last
 }
 
+// testStartupShare is that of two daemons in each of three zones.
+const testStartupShare = 1.0 / 6
+
 // newNetwork returns daemons that have all known one another for a while.
 func newNetwork(seed uint64, daemons int, limit Limit) *network {
 	limit.Revision = 1
@@ -107,7 +110,7 @@
 	v.dead, v.tick = false, 0
 	v.clock = time.Duration(v.net.rng.Int64N(int64(time.Hour))) + time.Minute - v.net.now
 	rng := rand.New(rand.NewPCG(v.net.rng.Uint64(), 2))
-	v.node = NewNode(v.local(), Options{Self: v.address, Incarnation: v.incarnation, Bound: testBound, Random: rng.Float64})
+	v.node = NewNode(v.local(), Options{Self: v.address, Incarnation: v.incarnation, Bound: testBound, StartupShare: testStartupShare, Random: rng.Float64})
 	var all []string
 	for _, other := range v.net.vms {
 		all = append(all, other.address)
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -14,6 +14,9 @@
 	Self        string
 	Incarnation uint64
 	Bound       Bound
+	// StartupShare is the part of each quota that a daemon may use after its start until it has found
+	// the owner. 0 means none.
+	StartupShare float64
 	// Random returns a random number from [0, 1).
 	Random func() float64
 }
