Reject a chunked upload whose trailers end in a bare line feed

Cause: since the empty trailers aren't copied, a body in pieces that ends in a bare LF was accepted, while the codec rejects it when it arrives whole. Found by FuzzUploadInPieces after 2 s. Change: the decoder keeps the empty line, and only CRLF takes the short way.

--- a/internal/callerserver/upload.go
+++ b/internal/callerserver/upload.go
@@ -1,6 +1,7 @@
 package callerserver
 
 import (
+	"bytes"
 	"errors"
 	"slices"
 
@@ -160,10 +161,10 @@
 
 // decodeTrailers adds the trailers of a chunked body to the request.
 func decodeTrailers(request *fasthttp.Request, trailers []byte, limits Limits) error {
-	if len(trailers) == 0 {
+	if bytes.Equal(trailers, lineEnd) {
 		return decodeChunks(request, emptyChunks, limits)
 	}
-	return decodeChunks(request, slices.Concat(lastChunk, trailers, lineEnd), limits)
+	return decodeChunks(request, slices.Concat(lastChunk, trailers), limits)
 }
 
 // chunkError returns the error for a request with an invalid chunked body.
--- a/internal/framing/decoder.go
+++ b/internal/framing/decoder.go
@@ -17,7 +17,7 @@
 	payload int
 	// offset is the number of bytes that were decoded.
 	offset int
-	// trailers are the lines between the last chunk and the empty one.
+	// trailers are the lines after the last chunk, up to the empty one.
 	trailers []byte
 }
 
@@ -33,7 +33,7 @@
 // Offset returns the number of bytes of the encoded body that were decoded.
 func (d *Decoder) Offset() int { return d.offset }
 
-// Trailers returns the lines between the last chunk and the empty one, once the body is complete.
+// Trailers returns the lines after the last chunk with the empty one, once the body is complete.
 func (d *Decoder) Trailers() []byte { return d.trailers }
 
 // Next decodes the start of piece, which follows the bytes that were decoded before. It returns the
@@ -132,16 +132,13 @@
 	return nil
 }
 
-// endTrailer keeps a line of the trailers. It returns true at the empty one, which it doesn't keep.
+// endTrailer keeps a line of the trailers. It returns true at the empty one.
 func (d *Decoder) endTrailer(line []byte) (bool, error) {
 	if len(d.trailers)+len(line) > MaxTrailerBytes {
 		return false, d.problem(TrailersTooLong)
 	}
-	if isEmptyLine(line) {
-		return true, nil
-	}
 	d.trailers = append(d.trailers, line...)
-	return false, nil
+	return isEmptyLine(line), nil
 }
 
 func (d *Decoder) problem(p Problem) error { return &ChunkError{Problem: p, Offset: d.offset} }
