--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -23,7 +23,6 @@
 	xrate "golang.org/x/time/rate"
 
 	"github.com/poplarwheel/poplarwheel/internal/hedging"
-	"github.com/poplarwheel/poplarwheel/internal/invariant"
 	"github.com/poplarwheel/poplarwheel/internal/outlier"
 )
 
@@ -188,23 +187,6 @@
 	return p.actions
 }
 
-func (p *Pool) enqueue(r *Request) {
-	r.queued = true
-	p.fair.add(r)
-	p.queue = append(p.queue, r)
-	if len(p.queue) > 2*maxQueued {
-		invariant.Breached(invariant.QueueBounded, "%d requests queued", len(p.queue))
-	}
-}
-
-// stopWaiting marks a request that leaves the queue.
-func (p *Pool) stopWaiting(r *Request) {
-	if r.queued {
-		r.queued = false
-		p.fair.remove(r)
-	}
-}
-
 // ProbeAnswered handles the response to a probe. The returned actions are valid until
 // the next event.
 func (p *Pool) ProbeAnswered(now time.Time, t *Target, report *Report, healthy bool) []Action {
@@ -265,14 +247,6 @@
 	t.probedAt = now
 }
 
-func (p *Pool) dequeue(r *Request) {
-	if !r.queued {
-		return
-	}
-	p.stopWaiting(r)
-	p.queue = remove(p.queue, r)
-}
-
 // Tick refuses requests that have waited too long, checks attempts in flight and
 // processes the queue. The returned actions are valid until the next event.
 func (p *Pool) Tick(now time.Time) []Action {
