--- a/internal/emulator/hedging_test.go
+++ b/internal/emulator/hedging_test.go
@@ -55,6 +55,7 @@
 	require.GreaterOrEqual(t, on.served, off.served-fewerServed, "served")
 }
 
+// Guards against hedges that take room from first attempts when the targets are nearly or fully used.
 func TestHedgingDoesNotHurtBusyTargets(t *testing.T) {
 	for _, scenario := range HedgingScenarios()[2:] {
 		t.Run(scenario.Name, func(t *testing.T) {
@@ -64,6 +65,8 @@
 	}
 }
 
+// Guards against hedges that come too late, or are spent on requests that aren't slow, when 3 % of the
+// responses take seven times as long.
 func TestHedgingOvertakesSlowResponses(t *testing.T) {
 	t.Parallel()
 	stragglers := HedgingScenarios()[0]
@@ -73,6 +76,7 @@
 	require.Less(t, on.p999, 0.9*off.p999)
 }
 
+// Guards against hedges that stay at targets which have turned slow for some hundred milliseconds.
 func TestHedgingOvertakesSlowTargets(t *testing.T) {
 	t.Parallel()
 	slowTargets := HedgingScenarios()[1]
