Store suspects without the time of their message

In the services' own interface a quarantined content was stored with the time at which its message was composed (since the times of deaths are compared by one clock). A daemon that read it later took that for a clock that is behind and moved the deaths to the present, so that each restart extended the quarantine. The gateway cleared the time before it stored; both call ForStorage now, where the stored list is built.

TestStoredSuspectHasNoTimeOfItsMessage failed before.

--- a/internal/gatewayd/quarantine.go
+++ b/internal/gatewayd/quarantine.go
@@ -126,7 +126,7 @@
 
 // store stores a quarantined content on the platform.
 func (p *quarantinePeers) store(suspect quarantine.Suspect) {
-	suspect.ToldAt = time.Time{}
+	suspect = suspect.ForStorage()
 	retryStore(func() bool {
 		if err := p.daemon.storeQuarantined(suspect); err != nil {
 			p.daemon.log.WithError(err).WithField("content", uint64(suspect.Content)).Warn("quarantine not kept")
--- a/internal/quarantine/stored.go
+++ b/internal/quarantine/stored.go
@@ -130,7 +130,7 @@
 			return len(kept.Deaths) > before
 		}
 	}
-	s.Suspects = append(s.Suspects, *change.Add)
+	s.Suspects = append(s.Suspects, change.Add.ForStorage())
 	return true
 }
 
--- a/internal/quarantine/stored_test.go
+++ b/internal/quarantine/stored_test.go
@@ -120,3 +120,13 @@
 	var unavailable *platform.UnavailableError
 	require.ErrorAs(t, UpdateStored(&objectStore{failing: true}, start, []Change{{Remove: 1}}), &unavailable)
 }
+
+// Guards against stored deaths that are moved to the present when they are read, which would extend their
+// quarantine with each restart.
+func TestStoredSuspectHasNoTimeOfItsMessage(t *testing.T) {
+	now := time.Now()
+	suspect := Suspect{Content: 7, Deaths: []Death{{Target: "a", SentAt: now.Add(-time.Second), At: now}}, ToldAt: now}
+	contents := stored{}
+	require.True(t, contents.apply(Change{Add: &suspect}))
+	require.Zero(t, contents.Suspects[0].ToldAt)
+}
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -48,6 +48,13 @@
 	ToldAt time.Time `json:"told,omitzero"`
 }
 
+// ForStorage returns the suspect as it is stored. Read back later, the time of its message would be taken
+// for that of a clock which is behind, and the deaths be moved to the present.
+func (s Suspect) ForStorage() Suspect {
+	s.ToldAt = time.Time{}
+	return s
+}
+
 // shared returns the content that any caller may send.
 func (s *Suspect) shared() Content {
 	if s.Of != 0 {
