--- a/review/stand-2/case8.go
+++ b/review/stand-2/case8.go
@@ -26,6 +26,12 @@
 	// allowedRetries is the number of late retries that the rule allows.
 	allowedRetries = 3
 	crashingPath   = "/stock/crash"
+	// episodes is how often requesters leave early, for episodeFor each time and with episodePause
+	// between. The request is sent each sendInterval in an episode.
+	episodes     = 4
+	episodeFor   = 5500 * time.Millisecond
+	episodePause = 6 * time.Second
+	sendInterval = 1600 * time.Millisecond
 	// stayingRequesters is the number of requesters that don't leave, beside the one that does.
 	stayingRequesters = 4
 )
@@ -123,30 +129,19 @@
 	if r.trouble {
 		limit = giveUpAfter
 	}
-	for i := range 20 {
-		id := fmt.Sprintf("crash-%02d", i)
-		ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
-		if limit > 0 {
-			ctx, cancel = context.WithTimeout(context.Background(), limit)
-		}
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+q.daemon.at(frontPort)+crashingPath, strings.NewReader(""))
-		if err != nil {
-			cancel()
-			return err
-		}
-		request.Host = callerHost
-		request.Header.Set(headerRequestID, id)
-		request.Header.Set(headerDeadline, "2500")
-		sent := time.Now()
-		response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}).Do(request)
-		status := 0
-		if err == nil {
-			status = response.StatusCode
-			_ = response.Body.Close()
+	sends := 0
+	for range episodes {
+		end := time.Now().Add(episodeFor)
+		for time.Now().Add(limit).Before(end) {
+			began := time.Now()
+			if err := sendCrashing(r, q, sends, limit); err != nil {
+				return err
+			}
+			sends++
+			time.Sleep(time.Until(earlier(began.Add(sendInterval), end)))
 		}
-		cancel()
-		r.logf("%s sent %.3f status %d err %v", id, r.since(sent), status, err)
-		time.Sleep(1500 * time.Millisecond)
+		r.logf("the episode ends")
+		time.Sleep(episodePause)
 	}
 	close(stop)
 	others.Wait()
@@ -173,3 +168,39 @@
 		c.run.breach("the request reached servers %d times later than %v after it had crashed the third", late, stableWindow)
 	}
 }
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// sendCrashing sends the request that crashes servers once. The requester leaves after limit, 0 for its
+// deadline.
+func sendCrashing(r *run, q *requester, i int, limit time.Duration) error {
+	id := fmt.Sprintf("crash-%02d", i)
+	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
+	if limit > 0 {
+		ctx, cancel = context.WithTimeout(context.Background(), limit)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+q.daemon.at(frontPort)+crashingPath, strings.NewReader(""))
+	if err != nil {
+		cancel()
+		return err
+	}
+	request.Host = callerHost
+	request.Header.Set(headerRequestID, id)
+	request.Header.Set(headerDeadline, "2500")
+	sent := time.Now()
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}).Do(request)
+	status := 0
+	if err == nil {
+		status = response.StatusCode
+		_ = response.Body.Close()
+	}
+	cancel()
+	r.logf("%s sent %.3f status %d err %v", id, r.since(sent), status, err)
+	return nil
+}
