Responses with invalid field names are malformed

Callers got a target's response as an answer although the name of a field in its head held a blank: with the line passed on, or, where the line was "Content Length" or "Transfer Encoding", with the framing or further bytes as part of the body. Interim responses and trailers with such names were accepted too, and a health check with one was believed.

Cause: fasthttp accepts spaces in names. One before the colon is dropped, with one inside the field is kept under a name that nothing looks for, and a line that begins with a blank is joined to the value before it. The receiver relied on the codec.

Names must now be tokens (RFC 9110, 5.6.2), in each head and in trailers. The attempt is lost then: retried if idempotent, otherwise 502. A blank before the colon may be removed by a proxy that forwards the response (RFC 9112, 5.1); it is given up instead, since nothing tells what else such a server means. A value may still continue on a further line (RFC 9112, 5.2), unless that line reads as a field.

--- a/internal/targetclient/header.go
+++ b/internal/targetclient/header.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/headerreader"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 )
 
 var (
@@ -19,6 +20,9 @@
 	if hasSecondStatusLine(header) || hasMisplacedEncoding(header) {
 		return ErrMalformed
 	}
+	if err := responsehead.Check(header); err != nil {
+		return &MalformedError{Cause: err}
+	}
 	reader := headerreader.Acquire(header, len(header))
 	defer reader.Release()
 	if err := response.Header.Read(reader.Buffered); err != nil {
--- a/internal/targetclient/receiver.go
+++ b/internal/targetclient/receiver.go
@@ -7,6 +7,7 @@
 
 	"github.com/poplarwheel/poplarwheel/internal/framing"
 	"github.com/poplarwheel/poplarwheel/internal/headerreader"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 )
 
 const (
@@ -209,8 +210,11 @@
 // decodeChunks decodes a complete chunked body. Its trailers must be valid, and are dropped: they
 // must not change what the header says.
 func (r *receiver) decodeChunks(body []byte) error {
-	trailerBytes := len(body) - r.chunks.TrailerStart()
-	reader := headerreader.Acquire(body, max(trailerBytes, framing.MaxChunkLineBytes))
+	trailers := body[r.chunks.TrailerStart():]
+	if err := responsehead.CheckFields(trailers); err != nil {
+		return &MalformedError{Cause: err}
+	}
+	reader := headerreader.Acquire(body, max(len(trailers), framing.MaxChunkLineBytes))
 	defer reader.Release()
 	r.response.SwapBody(make([]byte, 0, r.chunks.Payload()+len("\r\n")))
 	if err := r.response.ReadBody(reader.Buffered, MaxResponseBytes); err != nil {
