Clients of the store and of daemons reject invalid field names

A response whose head named a field with a space was believed: a write counted as done, an empty list as what the store holds, a target as healthy; with "Content Length" the body was what came until the connection ended.

These clients give no access to a head's bytes, and drop the blank before a colon. So their connections check each head, interim ones too, before the last byte of it is handed on. The call fails then like one without a response: the outcome of a write is unknown. fasthttp drops an error that comes without bytes, which is why the rest of the head is handed on with it. Clients that had the library's default way to open connections keep its time limits. Trailers of these responses are not checked, since nothing reads them.

--- a/client/exchange.go
+++ b/client/exchange.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 )
 
 // maxAnswerBytes bounds the body of an answer.
@@ -23,7 +25,12 @@
 	if ok {
 		host.CloseIdleConnections()
 	}
-	host = &fasthttp.HostClient{Addr: address, MaxConns: c.options.MaxConnections, MaxIdleConnDuration: idle}
+	host = &fasthttp.HostClient{
+		Addr:                address,
+		DialTimeout:         responsehead.DialTimeout,
+		MaxConns:            c.options.MaxConnections,
+		MaxIdleConnDuration: idle,
+	}
 	c.hosts[address] = host
 	return host
 }
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 )
 
 // Defaults of Options.
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return connection, nil
+	return responsehead.NewConn(connection), nil
 }
 
 // address returns the address in use.
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/daemon"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 )
 
 // dumpCommand prints the state of a daemon.
@@ -68,7 +69,8 @@
 // readDump reads the dump of a daemon from its admin port. Both kinds of daemon have it
 // at the same path.
 func readDump(admin string) ([]byte, error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+admin+daemon.PathDump, platformTimeout)
+	client := &fasthttp.Client{DialTimeout: responsehead.DialTimeout}
+	status, body, err := client.GetTimeout(nil, "http://"+admin+daemon.PathDump, platformTimeout)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/cli/dump_test.go
@@ -0,0 +1,27 @@
+package cli
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A response with an invalid head is not printed as a daemon's state.
+func TestDumpWithInvalidHeadFails(t *testing.T) {
+	for field, expected := range map[string]int{"X-Odd: 1": ExitOK, "X Odd: 1": ExitFailure} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 2\r\n\r\n{}", field)
+			_ = conn.Close()
+		}))
+		t.Cleanup(server.Close)
+		result := poplarwheel(t, "", "dump", "--admin", server.Listener.Addr().String())
+		require.Equal(t, expected, result.code, "%s: %s", field, result.stderr)
+	}
+}
--- a/internal/httppool/httppool.go
+++ b/internal/httppool/httppool.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/netdial"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 )
 
 const (
@@ -86,7 +87,7 @@
 	p := &pool{}
 	p.client = &fasthttp.HostClient{
 		Addr:                      address,
-		Dial:                      func(address string) (net.Conn, error) { return p.tracker.Dial(address, dialTimeout) },
+		Dial:                      p.dial,
 		MaxIdemponentCallAttempts: 1,
 		MaxIdleConnDuration:       idleTimeout,
 		ReadBufferSize:            bufferBytes,
@@ -95,6 +96,15 @@
 	return p
 }
 
+// dial opens a connection to the server.
+func (p *pool) dial(address string) (net.Conn, error) {
+	conn, err := p.tracker.Dial(address, dialTimeout)
+	if err != nil {
+		return nil, err
+	}
+	return responsehead.NewConn(conn), nil
+}
+
 // closeAll closes all connections, which ends the calls on them.
 func (p *pool) closeAll() {
 	p.tracker.CloseAll()
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 )
 
 // Paths and arguments of the platform's HTTP interface.
@@ -42,6 +44,7 @@
 		base:    "http://" + address,
 		timeout: timeout,
 		http: &fasthttp.Client{
+			DialTimeout:                   responsehead.DialTimeout,
 			MaxConnsPerHost:               maxConnections,
 			MaxIdemponentCallAttempts:     1,
 			DisablePathNormalizing:        true,
--- a/internal/probe/fetch.go
+++ b/internal/probe/fetch.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
@@ -40,6 +41,7 @@
 // NewClient returns a client without open connections.
 func NewClient() *Client {
 	return &Client{http: &fasthttp.Client{
+		DialTimeout:               responsehead.DialTimeout,
 		MaxConnsPerHost:           connectionsPerTarget,
 		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
--- a/internal/proxy/checks.go
+++ b/internal/proxy/checks.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 	"github.com/poplarwheel/poplarwheel/internal/wire"
 )
 
@@ -62,6 +63,7 @@
 // newCheckClient returns the HTTP client for health checks.
 func newCheckClient() *fasthttp.Client {
 	return &fasthttp.Client{
+		DialTimeout:               responsehead.DialTimeout,
 		MaxIdemponentCallAttempts: 1,
 		NoDefaultUserAgentHeader:  true,
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -26,6 +26,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/netdial"
 	"github.com/poplarwheel/poplarwheel/internal/probe"
 	"github.com/poplarwheel/poplarwheel/internal/quarantine"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
 	"github.com/poplarwheel/poplarwheel/internal/targetclient"
 )
 
@@ -73,10 +74,14 @@
 // called before Apply.
 func (p *Proxy) SetDial(dial netdial.Func) {
 	p.client.SetDial(dial)
-	p.checks.Dial = func(address string) (net.Conn, error) {
+	p.checks.DialTimeout = func(address string, _ time.Duration) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 		defer cancel()
-		return dial(ctx, address)
+		conn, err := dial(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return responsehead.NewConn(conn), nil
 	}
 }
 
--- /dev/null
+++ b/internal/responsehead/clients_test.go
@@ -0,0 +1,102 @@
+package responsehead_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/poplarwheel/poplarwheel/client"
+	"github.com/poplarwheel/poplarwheel/internal/adminclient"
+	"github.com/poplarwheel/poplarwheel/internal/httppool"
+	"github.com/poplarwheel/poplarwheel/internal/platform"
+	"github.com/poplarwheel/poplarwheel/internal/probe"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead"
+)
+
+// respondWith starts a server that writes the same bytes in response to each request, in one piece
+// or, if pieceBytes is above 0, in pieces of that size, and closes the connection.
+func respondWith(t *testing.T, response string, pieceBytes int) (address string) {
+	t.Helper()
+	if pieceBytes == 0 {
+		pieceBytes = len(response)
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		for sent := 0; sent < len(response); sent += pieceBytes {
+			_, _ = fmt.Fprint(conn, response[sent:min(sent+pieceBytes, len(response))])
+			if pieceBytes < len(response) {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// calls make a call with each client that reads responses with fasthttp. Clients that can't be
+// imported here have tests of their own.
+var calls = map[string]func(address string) error{
+	"callers' client": func(address string) error {
+		_, err := client.New(client.Options{}).DoAt(context.Background(), address, client.Request{Path: "/", Timeout: time.Second})
+		return err
+	},
+	"administration": func(address string) error {
+		_, err := adminclient.New(adminclient.Options{Addresses: []string{address}}).Dump()
+		return err
+	},
+	"load reports": func(address string) error {
+		_, _, err := probe.NewClient().Fetch(address)
+		return err
+	},
+	"object API, read": func(address string) error {
+		_, err := platform.NewClient(address, time.Second).Get("key")
+		return err
+	},
+	"object API, write": func(address string) error {
+		_, err := platform.NewClient(address, time.Second).Create("key", nil)
+		return err
+	},
+	"pool": func(address string) error {
+		request := fasthttp.AcquireRequest()
+		request.SetRequestURI("http://" + address + "/")
+		return httppool.New(address).Do("", request, fasthttp.AcquireResponse(), time.Second)
+	},
+}
+
+const validResponse = "HTTP/1.1 200 OK\r\nX-Odd: 1\r\nContent-Length: 2\r\n\r\n{}"
+
+// invalidResponses are responses with a head that fasthttp accepts and that is invalid.
+var invalidResponses = map[string]string{
+	"space in a name":        "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}",
+	"space before the colon": "HTTP/1.1 200 OK\r\nX-Odd : 1\r\nContent-Length: 2\r\n\r\n{}",
+	"length":                 "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\n{}",
+	"line that isn't folded": "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n Content-Length: 2\r\n\r\n{}",
+	"interim response":       "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n\r\n" + validResponse,
+	"after interim response": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}",
+}
+
+// Whatever a client reads, a response with an invalid head is none: a write must not count as done.
+func TestInvalidHeadIsNoResponse(t *testing.T) {
+	for client, call := range calls {
+		t.Run(client, func(t *testing.T) {
+			t.Parallel()
+			for _, pieceBytes := range []int{0, 7} {
+				require.NoError(t, call(respondWith(t, validResponse, pieceBytes)))
+				for name, response := range invalidResponses {
+					var invalid *responsehead.FieldNameError
+					require.ErrorAs(t, call(respondWith(t, response, pieceBytes)), &invalid, "%s, pieces of %d", name, pieceBytes)
+				}
+			}
+		})
+	}
+}
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -30,6 +30,12 @@
 	return CheckFields(fields)
 }
 
+// statusOf returns the status line from the status on, with what follows it.
+func statusOf(head []byte) []byte {
+	_, status, _ := bytes.Cut(head, []byte(" "))
+	return bytes.TrimLeft(status, " ")
+}
+
 // CheckFields returns a *FieldNameError if the name of a field isn't a token (RFC 9110, section 5.1).
 // Fields are the lines of a head behind the status line, or of a trailer, up to an empty line.
 //
