Clients of the store and of daemons reject status 000

A response of the users' store, of the object API, of an entry daemon or to a health check whose status was 000 was taken for one with status 200: a write counted as done, an empty list as what the store holds, a target as healthy. Responses of targets to requests were checked before (TestResponseWithoutValidStatusIsNoAnswer, TestStatusOutOfRangeIsMalformed and TestStatusWithoutThreeDigitsIsMalformed passed before and pass now).

Cause: fasthttp returns a status of 0 as 200. Only the receiver of the target client looked at the bytes. Its check moves to where the heads that fasthttp's own clients read are checked, so there is one for all.

Before, status 000 was believed by the callers' client, the object API's client, the pool of the store's client in ./platform (each of its five calls), health checks and the dump command: TestInvalidHeadIsNoResponse, TestStoreResponseWithInvalidHeadIsNone, TestHealthCheckWithInvalidHeadIsNotBelieved and TestDumpWithInvalidHeadFails failed. The load reports' and the administration client failed at the cases of 099 and 600, which they reported as failures of another kind; the order of the cases is random, so that run doesn't show whether they believed 000. With the change all pass.

--- a/internal/cli/dump_test.go
+++ b/internal/cli/dump_test.go
@@ -11,17 +11,17 @@
 
 // A response with an invalid head is not printed as a daemon's state.
 func TestDumpWithInvalidHeadFails(t *testing.T) {
-	for field, expected := range map[string]int{"X-Odd: 1": ExitOK, "X Odd: 1": ExitFailure} {
+	for head, expected := range map[string]int{"200 OK\r\nX-Odd: 1": ExitOK, "200 OK\r\nX Odd: 1": ExitFailure, "000 OK": ExitFailure} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			conn, _, err := w.(http.Hijacker).Hijack()
 			if err != nil {
 				return
 			}
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\nContent-Length: 2\r\n\r\n{}", field)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nContent-Length: 2\r\n\r\n{}", head)
 			_ = conn.Close()
 		}))
 		t.Cleanup(server.Close)
 		result := poplarwheel(t, "", "dump", "--admin", server.Listener.Addr().String())
-		require.Equal(t, expected, result.code, "%s: %s", field, result.stderr)
+		require.Equal(t, expected, result.code, "%s: %s", head, result.stderr)
 	}
 }
--- a/internal/proxy/checks_test.go
+++ b/internal/proxy/checks_test.go
@@ -26,6 +26,7 @@
 	byFunction.SetDial(netdial.Direct)
 	for response, expected := range map[string]dispatch.HealthCheckResult{
 		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n":             dispatch.CheckHealthy,
+		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n":             dispatch.CheckUnreachable,
 		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n": dispatch.CheckUnreachable,
 	} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/responsehead/clients_test.go
+++ b/internal/responsehead/clients_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -82,6 +83,13 @@
 	"length":                 "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\n{}",
 	"line that isn't folded": "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n Content-Length: 2\r\n\r\n{}",
 	"interim response":       "HTTP/1.1 103 Early Hints\r\nLink : </a>\r\n\r\n" + validResponse,
+	"status 000":             "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 000, two spaces": "HTTP/1.1  000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 000, no reason":  "HTTP/1.1 000\r\nContent-Length: 2\r\n\r\n{}",
+	"status 000, HTTP/1.0":   "HTTP/1.0 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"interim, status 000":    "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 099":             "HTTP/1.1 099 OK\r\nContent-Length: 2\r\n\r\n{}",
+	"status 600":             "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}",
 	"after interim response": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}",
 }
 
@@ -93,8 +101,9 @@
 			for _, pieceBytes := range []int{0, 7} {
 				require.NoError(t, call(respondWith(t, validResponse, pieceBytes)))
 				for name, response := range invalidResponses {
-					var invalid *responsehead.FieldNameError
-					require.ErrorAs(t, call(respondWith(t, response, pieceBytes)), &invalid, "%s, pieces of %d", name, pieceBytes)
+					err := call(respondWith(t, response, pieceBytes))
+					var invalidName *responsehead.FieldNameError
+					require.True(t, errors.As(err, &invalidName) || errors.Is(err, responsehead.ErrStatus), "%s, pieces of %d: %v", name, pieceBytes, err)
 				}
 			}
 		})
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -5,8 +5,13 @@
 import (
 	"bytes"
 	"fmt"
+
+	"github.com/zeebo/errs"
 )
 
+// ErrStatus means that the status of a response isn't between 100 and 599.
+var ErrStatus = errs.New("invalid status")
+
 var (
 	lineFeed = []byte("\n")
 	colon    = []byte(":")
@@ -26,10 +31,20 @@
 
 // Check returns an error if a complete head, a status line and fields, is invalid.
 func Check(head []byte) error {
+	if !hasValidStatus(head) {
+		return ErrStatus
+	}
 	_, fields, _ := bytes.Cut(head, lineFeed)
 	return CheckFields(fields)
 }
 
+// hasValidStatus reports whether the status starts with a digit from 1 to 5. That it has three digits is
+// checked by fasthttp, which returns status 000 as 200.
+func hasValidStatus(head []byte) bool {
+	status := statusOf(head)
+	return len(status) > 0 && '1' <= status[0] && status[0] <= '5'
+}
+
 // statusOf returns the status line from the status on, with what follows it.
 func statusOf(head []byte) []byte {
 	_, status, _ := bytes.Cut(head, []byte(" "))
--- a/internal/targetclient/header.go
+++ b/internal/targetclient/header.go
@@ -28,20 +28,12 @@
 	if err := response.Header.Read(reader.Buffered); err != nil {
 		return &MalformedError{Cause: err}
 	}
-	if reader.Unread() > 0 || !isStatus(header) {
+	if reader.Unread() > 0 {
 		return ErrMalformed
 	}
 	return nil
 }
 
-// isStatus reports whether the status of a valid header is between 100 and 599. The parsed status
-// doesn't tell: fasthttp returns 0 as 200.
-func isStatus(header []byte) bool {
-	_, status, _ := bytes.Cut(header, []byte{' '})
-	status = bytes.TrimLeft(status, " ")
-	return len(status) > 0 && '1' <= status[0] && status[0] <= '5'
-}
-
 // hasMisplacedEncoding reports whether the header of another protocol version than HTTP/1.1 has a
 // transfer coding. fasthttp ignores it, so that the chunks would be taken for the body.
 func hasMisplacedEncoding(header []byte) bool {
