--- a/internal/targetclient/receiver_test.go
+++ b/internal/targetclient/receiver_test.go
@@ -187,7 +187,7 @@
 
 // FuzzReceiver checks that any split of any bytes gives the same result as the bytes whole.
 func FuzzReceiver(f *testing.F) {
-	for _, seed := range []string{sizedMessage, chunkedMessage, interimMessage, openMessage, "HTTP/1.1 2x0\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1  200\r\n\r\n", "HTTP/1.1 204 N\r\n\r\nrest"} {
+	for _, seed := range []string{sizedMessage, chunkedMessage, interimMessage, openMessage, "HTTP/1.1 2x0\r\n\r\n", "HTTP/1.1 000 OK\r\n\r\n", "HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1  200\r\n\r\n", "HTTP/1.1 204 N\r\n\r\nrest", "HTTP/1.1 204 N\r\nA B: c\r\n\r\n", "HTTP/1.1 204 N\r\nA: b\r\n c\r\n\r\n"} {
 		f.Add([]byte(seed), uint8(0))
 		f.Add([]byte(seed), uint8(10))
 	}
