--- a/internal/proxy/checks_test.go
+++ b/internal/proxy/checks_test.go
@@ -1,9 +1,6 @@
 package proxy
 
 import (
-	"fmt"
-	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -12,6 +9,7 @@
 	"github.com/poplarwheel/poplarwheel/internal/dispatch"
 	"github.com/poplarwheel/poplarwheel/internal/idempotency"
 	"github.com/poplarwheel/poplarwheel/internal/netdial"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead/responseheadtest"
 )
 
 // A health check is not believed if the head of its response is invalid, whether connections are
@@ -29,17 +27,9 @@
 		"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n":             dispatch.CheckUnreachable,
 		"HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n": dispatch.CheckUnreachable,
 	} {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				return
-			}
-			_, _ = fmt.Fprint(conn, response)
-			_ = conn.Close()
-		}))
-		t.Cleanup(server.Close)
+		address := responseheadtest.Serve(t, response)
 		for _, p := range []*Proxy{byDefault, byFunction} {
-			require.Equal(t, expected, p.checkHealth(server.Listener.Addr().String()), "%q", response)
+			require.Equal(t, expected, p.checkHealth(address), "%q", response)
 		}
 	}
 }
--- a/internal/responsehead/clients_test.go
+++ b/internal/responsehead/clients_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -18,32 +15,9 @@
 	"github.com/poplarwheel/poplarwheel/internal/platform"
 	"github.com/poplarwheel/poplarwheel/internal/probe"
 	"github.com/poplarwheel/poplarwheel/internal/responsehead"
+	"github.com/poplarwheel/poplarwheel/internal/responsehead/responseheadtest"
 )
 
-// respondWith starts a server that writes the same bytes in response to each request, in one piece
-// or, if pieceBytes is above 0, in pieces of that size, and closes the connection.
-func respondWith(t *testing.T, response string, pieceBytes int) (address string) {
-	t.Helper()
-	if pieceBytes == 0 {
-		pieceBytes = len(response)
-	}
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		conn, _, err := w.(http.Hijacker).Hijack()
-		if err != nil {
-			return
-		}
-		defer func() { _ = conn.Close() }()
-		for sent := 0; sent < len(response); sent += pieceBytes {
-			_, _ = fmt.Fprint(conn, response[sent:min(sent+pieceBytes, len(response))])
-			if pieceBytes < len(response) {
-				time.Sleep(time.Millisecond)
-			}
-		}
-	}))
-	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
-}
-
 // calls make a call with each client that reads responses with fasthttp. Clients that can't be
 // imported here have tests of their own.
 var calls = map[string]func(address string) error{
@@ -98,10 +72,10 @@
 	for client, call := range calls {
 		t.Run(client, func(t *testing.T) {
 			t.Parallel()
-			for _, pieceBytes := range []int{0, 7} {
-				require.NoError(t, call(respondWith(t, validResponse, pieceBytes)))
+			for _, pieceBytes := range []int{7, 1000} {
+				require.NoError(t, call(responseheadtest.ServeInPieces(t, validResponse, pieceBytes)))
 				for name, response := range invalidResponses {
-					err := call(respondWith(t, response, pieceBytes))
+					err := call(responseheadtest.ServeInPieces(t, response, pieceBytes))
 					var invalidName *responsehead.FieldNameError
 					require.True(t, errors.As(err, &invalidName) || errors.Is(err, responsehead.ErrStatus), "%s, pieces of %d: %v", name, pieceBytes, err)
 				}
