--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -76,7 +76,8 @@
 // server that puts a blank before a name means a field of its own.
 func hasValidName(line []byte) bool {
 	name, _, found := bytes.Cut(line, colon)
-	if isContinuation := line[0] == ' ' || line[0] == '\t'; isContinuation {
+	isContinuation := line[0] == ' ' || line[0] == '\t'
+	if isContinuation {
 		return !found || !isToken(bytes.TrimLeft(name, blanks))
 	}
 	return found && isToken(name)
